--- /dev/null
+++ b/deploy/operator.lisp
@@ -0,0 +1,29 @@
+;; The operators' own settings of valegap. Every line is optional; the values
+;; here are the defaults, and a test keeps it so. Ranges stand in brackets.
+(
+ ;; Time to live of a controller's hold in the state service [1 to 60]. Longer
+ ;; rides out slower state services; shorter takes over sooner after a crash.
+ (lease-s . 6.0)
+ ;; How often the hold is renewed [0.1 to a third of lease-s].
+ (renew-s . 1.0)
+ ;; How long before the hold's earliest end its owner stops acting, to cover
+ ;; clock drift and a busy processor [0.05 to a third of lease-s].
+ (lease-margin-s . 0.5)
+ ;; How often a changed shard is snapshotted [0.2 to 60].
+ (snapshot-s . 3.0)
+ ;; Age of unsnapshotted changes past which nothing is started [snapshot-s to 600].
+ (staleness-s . 15.0)
+ ;; Share of the state service's writes that snapshots may use [0.05 to 0.9].
+ (snapshot-write-share . 0.5)
+ ;; Silence after which a machine gets no new tasks [1 to 600].
+ (suspect-s . 8.0)
+ ;; Silence after which a machine is given back to the cloud, so that its tasks
+ ;; can move at once [suspect-s to 3600].
+ (abandon-s . 15.0)
+ ;; Capacity held ready beyond what runs and waits, as a share of it [0 to 10].
+ (headroom . 0.1)
+ ;; How long a machine may stay idle before it is given back [0 to 86400].
+ (idle-s . 20.0)
+ ;; How long a refused kind of machine is not asked for again [1 to 3600].
+ (refused-s . 15.0)
+)
--- /dev/null
+++ b/src/coordination/io.rs
@@ -0,0 +1,355 @@
+//! Carrying out what the shard decides, and telling it how that went.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use tracing::{debug, error, warn};
+
+use super::lease::Tenure;
+use super::node::{Node, STATE_DEADLINE};
+use super::shard::{Action, CommandOutcome, RentalOutcome, ShardWrite};
+use crate::protocol::MachineId;
+use crate::protocol::cloud::{ListPage, Listed, MachineNames, MachineType, MachineTypes, Rental};
+use crate::protocol::state::{Change, Txn};
+use crate::protocol::users::Stage;
+use crate::protocol::workers::{Command, CommandBatch};
+use crate::storage::client::{StateError, TxnOutcome, backoff};
+use crate::storage::keys;
+use crate::storage::records::{FinalRecord, JobRecord, SequenceRecord, VERSION};
+use crate::transport::client::CallError;
+
+const COMMAND_DEADLINE: Duration = Duration::from_secs(2);
+const CLOUD_DEADLINE: Duration = Duration::from_secs(4);
+/// Entries on one page of the machine list.
+const LIST_PAGE: usize = 500;
+
+/// Carries out one action.
+pub async fn carry_out(node: Arc<Node>, tenure: Arc<Tenure>, action: Action) {
+    match action {
+        Action::Command {
+            machine,
+            addr,
+            session,
+            number,
+            commands,
+        } => {
+            let outcome = command(&node, &tenure, &addr, session, &commands).await;
+            node.with_shard(&tenure, |shard, now| {
+                shard.command_answered(&machine, number, &commands, outcome, now);
+            });
+        }
+        Action::Write(write) => {
+            if write_shard(&node, &tenure, &write).await {
+                node.with_shard(&tenure, |shard, now| shard.shard_written(&write, now));
+            }
+        }
+        Action::Finish { job, mark } => finish(&node, &tenure, &job, mark).await,
+        Action::ReadFinal { job } => read_final(&node, &tenure, &job).await,
+        Action::Rent(rental) => {
+            let outcome = if tenure.live(node.now()) {
+                rent(&node, &rental).await
+            } else {
+                RentalOutcome::Unknown
+            };
+            node.with_shard(&tenure, |shard, now| {
+                shard.rental_answered(&rental.request, outcome, now);
+            });
+        }
+        Action::Delete(machines) => {
+            let done = tenure.live(node.now()) && delete(&node, &machines).await;
+            node.with_shard(&tenure, |shard, now| {
+                shard.deletion_answered(&machines, done, now);
+            });
+        }
+        Action::Fenced { seen } => check_fence(&node, &tenure, seen).await,
+    }
+}
+
+async fn command(
+    node: &Node,
+    tenure: &Tenure,
+    addr: &str,
+    session: u64,
+    commands: &[Command],
+) -> CommandOutcome {
+    let Ok(addr) = addr.parse() else {
+        return CommandOutcome::NotSent;
+    };
+    let batch = CommandBatch {
+        term: tenure.term,
+        session,
+        commands: commands.to_vec(),
+    };
+    let Ok(body) = serde_json::to_vec(&batch) else {
+        return CommandOutcome::NotSent;
+    };
+    if !tenure.live(node.now()) {
+        return CommandOutcome::NotSent;
+    }
+    let answer = node
+        .http
+        .call(Method::POST, addr, "/commands", body, COMMAND_DEADLINE)
+        .await;
+    match answer {
+        Ok(answer) => match (answer.status, serde_json::from_slice(&answer.body)) {
+            (StatusCode::OK, Ok(report)) => CommandOutcome::Executed(report),
+            (StatusCode::CONFLICT, Ok(report)) => CommandOutcome::Refused(report),
+            (status, _) => {
+                warn!(%addr, %status, "a worker's answer can't be read");
+                CommandOutcome::NoAnswer
+            }
+        },
+        Err(CallError::NotSent) => CommandOutcome::NotSent,
+        Err(CallError::NoAnswer) => CommandOutcome::NoAnswer,
+    }
+}
+
+/// Applies one shard write, fenced by the term and ordered by the sequence
+/// number. False if the tenure ended before it was known to be applied.
+async fn write_shard(node: &Node, tenure: &Tenure, write: &ShardWrite) -> bool {
+    let mut sequence = tenure.sequence.lock().await;
+    let n = sequence.n + 1;
+    let record = SequenceRecord {
+        v: VERSION,
+        term: tenure.term,
+        n,
+    };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return false;
+    };
+    let mut attempt = 0;
+    while !tenure.ended() {
+        let mut txn = Txn::default()
+            .guard(keys::owner(), tenure.term)
+            .guard(keys::sequence(), sequence.version)
+            .change(Change::put(keys::sequence(), value.clone()));
+        txn.changes.extend(write.changes.iter().cloned());
+        match node.state.txn(&txn, STATE_DEADLINE).await {
+            Ok(TxnOutcome::Committed { revision }) => {
+                sequence.version = revision;
+                sequence.n = n;
+                return true;
+            }
+            Ok(TxnOutcome::Conflict) | Err(StateError::NoAnswer) => {
+                // Either an earlier try was applied after all, or the shard is
+                // not ours any more, or (without an answer) nothing is known.
+                match read_sequence(node).await {
+                    Ok(Some((version, at))) if at == record => {
+                        sequence.version = version;
+                        sequence.n = n;
+                        return true;
+                    }
+                    Ok(found) => {
+                        let version = found.map_or(0, |(version, _)| version);
+                        if version != sequence.version {
+                            warn!(term = tenure.term, "the shard was written by another owner");
+                            tenure.finish();
+                            return false;
+                        }
+                        if !still_ours(node, tenure).await {
+                            return false;
+                        }
+                    }
+                    Err(_) => {}
+                }
+            }
+            Err(StateError::Unexpected(why)) => {
+                error!(why, "a shard write is refused");
+            }
+            Err(_) => {}
+        }
+        attempt += 1;
+        tokio::time::sleep(backoff(attempt)).await;
+    }
+    false
+}
+
+async fn read_sequence(node: &Node) -> Result<Option<(u64, SequenceRecord)>, StateError> {
+    let item = node.state.get(&keys::sequence(), STATE_DEADLINE).await?;
+    Ok(item.and_then(|item| {
+        let record = serde_json::from_value(item.value).ok()?;
+        Some((item.version, record))
+    }))
+}
+
+/// Whether the ownership record is still this tenure's; ends the tenure if it
+/// surely isn't.
+async fn still_ours(node: &Node, tenure: &Tenure) -> bool {
+    match node.state.get(&keys::owner(), STATE_DEADLINE).await {
+        Ok(Some(item)) if item.version == tenure.term => true,
+        Ok(_) => {
+            warn!(term = tenure.term, "the shard is another's");
+            tenure.finish();
+            false
+        }
+        Err(_) => true,
+    }
+}
+
+async fn check_fence(node: &Node, tenure: &Tenure, seen: u64) {
+    if still_ours(node, tenure).await {
+        debug!(seen, term = tenure.term, "a worker has seen a higher term");
+    }
+}
+
+/// Records that a job is done, unless its user cancelled it first.
+async fn finish(node: &Arc<Node>, tenure: &Arc<Tenure>, job: &str, mark: u64) {
+    let mut attempt = 0;
+    while !tenure.ended() {
+        let Ok(Some(item)) = node.state.get(&keys::job(job), STATE_DEADLINE).await else {
+            // Gone, or not to be read now.
+            if let Ok(None) = node.state.get(&keys::job(job), STATE_DEADLINE).await {
+                node.with_shard(tenure, |shard, now| shard.job_gone(job, None, now));
+                return;
+            }
+            attempt += 1;
+            tokio::time::sleep(backoff(attempt)).await;
+            continue;
+        };
+        let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else {
+            error!(job, "the record of a finished job can't be read");
+            return;
+        };
+        let last = FinalRecord {
+            v: VERSION,
+            stage: Stage::Done,
+            tasks: record.spec.tasks,
+            spec: record.spec,
+        };
+        let Ok(value) = serde_json::to_value(&last) else {
+            return;
+        };
+        let txn = Txn::default()
+            .guard(keys::owner(), tenure.term)
+            .guard(keys::job(job), mark)
+            .change(Change::delete(keys::job(job)))
+            .change(Change::put(keys::final_job(job), value));
+        match node.state.txn(&txn, STATE_DEADLINE).await {
+            Ok(TxnOutcome::Committed { .. }) => {
+                node.with_shard(tenure, |shard, now| {
+                    shard.job_gone(job, Some(Stage::Done), now);
+                });
+                return;
+            }
+            Ok(TxnOutcome::Conflict) => {
+                if !still_ours(node, tenure).await {
+                    return;
+                }
+            }
+            Err(_) => {}
+        }
+        attempt += 1;
+        tokio::time::sleep(backoff(attempt)).await;
+    }
+}
+
+async fn read_final(node: &Arc<Node>, tenure: &Arc<Tenure>, job: &str) {
+    let mut attempt = 0;
+    while !tenure.ended() {
+        if let Ok(item) = node.state.get(&keys::final_job(job), STATE_DEADLINE).await {
+            let record = item.and_then(|item| serde_json::from_value(item.value).ok());
+            node.with_shard(tenure, |shard, _| shard.orphan_read(job, record));
+            return;
+        }
+        attempt += 1;
+        tokio::time::sleep(backoff(attempt)).await;
+    }
+}
+
+async fn cloud<T: DeserializeOwned>(
+    node: &Node,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<T, Option<StatusCode>> {
+    let addr = node.settings.platform.services.cloud;
+    let answer = node
+        .http
+        .call(method, addr, path, body, CLOUD_DEADLINE)
+        .await
+        .map_err(|_| None)?;
+    if answer.status != StatusCode::OK {
+        // A refusal for want of capacity is an answer; trouble is not.
+        let trouble = answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && !answer.body.windows(11).any(|w| w == b"no capacity");
+        let final_answer = matches!(
+            answer.status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST
+        ) && !trouble;
+        return Err(final_answer.then_some(answer.status));
+    }
+    serde_json::from_slice(&answer.body).map_err(|_| None)
+}
+
+/// The machine types, if the cloud tells them now.
+pub async fn machine_types(node: &Node) -> Option<Vec<MachineType>> {
+    cloud::<MachineTypes>(node, Method::GET, "/machine_types", Vec::new())
+        .await
+        .ok()
+        .map(|answer| answer.types)
+}
+
+async fn rent(node: &Node, rental: &Rental) -> RentalOutcome {
+    let Ok(body) = serde_json::to_vec(rental) else {
+        return RentalOutcome::Rejected;
+    };
+    match cloud::<MachineNames>(node, Method::POST, "/rentals", body).await {
+        Ok(names) => RentalOutcome::Rented(names.machines),
+        Err(Some(StatusCode::BAD_REQUEST)) => {
+            warn!(
+                request = rental.request,
+                "the cloud calls a rental malformed"
+            );
+            RentalOutcome::Rejected
+        }
+        Err(Some(_)) => RentalOutcome::NoCapacity,
+        Err(None) => RentalOutcome::Unknown,
+    }
+}
+
+async fn delete(node: &Node, machines: &[MachineId]) -> bool {
+    let names = MachineNames {
+        machines: machines.iter().map(|id| id.to_string()).collect(),
+    };
+    let Ok(body) = serde_json::to_vec(&names) else {
+        return false;
+    };
+    cloud::<serde_json::Value>(node, Method::POST, "/rentals/delete", body)
+        .await
+        .is_ok()
+}
+
+/// Reads the machine list again and again.
+pub async fn watch_cloud(node: Arc<Node>, tenure: Arc<Tenure>) {
+    let lag = node.settings.platform.settings.cloud.list_lag_s;
+    let pause = Duration::from_secs_f64((lag / 2.0).clamp(2.0, 10.0));
+    while !tenure.ended() {
+        if tenure.live(node.now())
+            && let Some(list) = machine_list(&node).await
+        {
+            node.with_shard(&tenure, |shard, now| shard.listed(&list, now));
+        }
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = tenure.end.notified() => {}
+        }
+    }
+}
+
+async fn machine_list(node: &Node) -> Option<Vec<Listed>> {
+    let mut list: Vec<Listed> = Vec::new();
+    loop {
+        let after = list.last().map_or("", |entry| entry.id.as_str());
+        let path = format!("/rentals?After={after}&Most={LIST_PAGE}");
+        let page = cloud::<ListPage>(node, Method::GET, &path, Vec::new())
+            .await
+            .ok()?;
+        let more = page.more && !page.machines.is_empty();
+        list.extend(page.machines);
+        if !more {
+            return Some(list);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/lease.rs
@@ -0,0 +1,103 @@
+//! Holding the shard: the hold in the state service, and what it entitles to.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use crate::settings::Operator;
+
+/// Drift of steady clocks to reckon with, both ways together.
+const DRIFT: f64 = 0.002;
+
+/// One term of ownership.
+///
+/// An owner acts only while [`Tenure::live`]: until its deadline, which runs
+/// from when the last successful renewal was *sent*. Past it the hold may have
+/// ended. If a later renewal succeeds, the hold never did, and the owner goes
+/// on in the same term.
+#[derive(Debug)]
+pub struct Tenure {
+    pub hold: u64,
+    pub term: u64,
+    deadline: Mutex<Instant>,
+    ended: AtomicBool,
+    pub since: Instant,
+    /// Woken when the tenure ends.
+    pub end: Notify,
+    /// The shard's sequence number, held while a shard write is under way.
+    pub sequence: tokio::sync::Mutex<Sequence>,
+}
+
+/// The version of the sequence key and the number in it.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Sequence {
+    pub version: u64,
+    pub n: u64,
+}
+
+/// The moment up to which a renewal sent at `sent` entitles.
+pub fn deadline(operator: &Operator, sent: Instant) -> Instant {
+    let margin = Duration::from_secs_f64(operator.lease_margin_s);
+    sent + operator.lease().mul_f64(1.0 - DRIFT).saturating_sub(margin)
+}
+
+impl Tenure {
+    pub fn new(hold: u64, term: u64, deadline: Instant, since: Instant) -> Self {
+        Self {
+            hold,
+            term,
+            deadline: Mutex::new(deadline),
+            ended: AtomicBool::new(false),
+            since,
+            end: Notify::new(),
+            sequence: tokio::sync::Mutex::new(Sequence::default()),
+        }
+    }
+
+    /// Whether the owner may act now.
+    pub fn live(&self, now: Instant) -> bool {
+        !self.ended() && now < *self.deadline.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Whether it is over for good.
+    pub fn ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Ends it: nothing is done in its name any more.
+    pub fn finish(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.end.notify_waiters();
+    }
+
+    /// A renewal sent then has succeeded.
+    pub fn renewed(&self, until: Instant) {
+        let mut deadline = self.deadline.lock().unwrap_or_else(|e| e.into_inner());
+        *deadline = (*deadline).max(until);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_deadline_runs_from_the_sending_of_the_renewal() {
+        let operator = Operator::default();
+        let sent = Instant::now();
+        let until = deadline(&operator, sent);
+        assert!(until < sent + operator.lease() - Duration::from_millis(500));
+        let tenure = Tenure::new(1, 10, until, sent);
+        assert!(tenure.live(until - Duration::from_millis(1)));
+        assert!(!tenure.live(until));
+        // An outage past the deadline, then a renewal that succeeds: the hold
+        // never ended, so the same term goes on.
+        let late = sent + Duration::from_secs(30);
+        tenure.renewed(deadline(&operator, late));
+        assert!(tenure.live(late + Duration::from_secs(1)));
+        tenure.finish();
+        assert!(!tenure.live(late + Duration::from_secs(1)));
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,8 @@
+//! Who owns what, and what an owner does with it.
+
+pub mod io;
+pub mod lease;
+pub mod node;
+pub mod peering;
+pub mod requests;
+pub mod shard;
--- /dev/null
+++ b/src/coordination/peering.rs
@@ -0,0 +1,188 @@
+//! What controllers tell one another, and what follows from it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Method;
+
+use super::node::{Node, PeerView, STATE_DEADLINE, step_down};
+use crate::protocol::peers::{PeerAnswer, PeerRequest, Pulse, decode_answer, encode_request};
+use crate::settings::platform::Peer;
+use crate::storage::keys;
+
+/// Pause between two rounds.
+const ROUND: Duration = Duration::from_secs(1);
+const PULSE_DEADLINE: Duration = Duration::from_millis(700);
+/// How long a worker that came by counts as heard.
+const HEARD: Duration = Duration::from_secs(8);
+/// Rounds for which an owner must hear too little before it gives up.
+const DEAF_ROUNDS: u32 = 4;
+/// How long an owner stays at the least before it hands over to a nearer one.
+const LEAST_TENURE: Duration = Duration::from_secs(20);
+/// How long a node that couldn't hear the workers leaves the shard to others.
+const DEAF_FOR: Duration = Duration::from_secs(30);
+
+/// Sends a frame to another controller.
+pub async fn ask(
+    node: &Node,
+    peer: &Peer,
+    request: &PeerRequest,
+    deadline: Duration,
+) -> Option<PeerAnswer> {
+    let answer = node
+        .peers_http
+        .call(
+            Method::POST,
+            peer.address,
+            "/peer",
+            encode_request(request),
+            deadline,
+        )
+        .await
+        .ok()?;
+    decode_answer(&answer.body)
+}
+
+/// What this node says of itself.
+pub fn own_pulse(node: &Node) -> Pulse {
+    let now = node.now();
+    let state_served = !node.state_lost();
+    let mut inner = node.lock();
+    inner
+        .workers
+        .retain(|_, at| now.saturating_duration_since(*at) < HEARD);
+    let term = inner
+        .ownership
+        .as_ref()
+        .filter(|own| own.tenure.live(now))
+        .map(|own| own.tenure.term);
+    Pulse {
+        label: node.label().to_owned(),
+        zone: node.settings.platform.area.clone(),
+        state_served,
+        workers_heard: inner.workers.len() as u32,
+        up_s: now.saturating_duration_since(node.started).as_secs(),
+        term,
+        main_zone: inner.main_zone.clone(),
+    }
+}
+
+/// Notes what a peer says of itself.
+pub fn heard_pulse(node: &Node, pulse: Pulse) {
+    let at = node.now();
+    let mut inner = node.lock();
+    if pulse.term.is_some() && pulse.main_zone.is_some() {
+        inner.main_zone.clone_from(&pulse.main_zone);
+    }
+    inner
+        .peers
+        .insert(pulse.label.clone(), PeerView { pulse, at });
+}
+
+/// Exchanges pulses for ever.
+pub async fn pulse(node: Arc<Node>) {
+    let mut deaf = 0;
+    loop {
+        tokio::time::sleep(ROUND).await;
+        note_main_zone(&node);
+        for peer in &node.settings.platform.others {
+            let (node, peer) = (node.clone(), peer.clone());
+            tokio::spawn(async move {
+                let request = PeerRequest::Pulse(own_pulse(&node));
+                if let Some(PeerAnswer::Pulse(pulse)) =
+                    ask(&node, &peer, &request, PULSE_DEADLINE).await
+                {
+                    heard_pulse(&node, pulse);
+                }
+            });
+        }
+        // A look at the state service keeps this node's picture of it fresh.
+        let probing = node.clone();
+        tokio::spawn(async move {
+            let _ = probing.state.get(&keys::owner(), STATE_DEADLINE).await;
+        });
+        deaf = if is_deaf(&node) { deaf + 1 } else { 0 };
+        let Some(tenure) = node.tenure() else {
+            continue;
+        };
+        if deaf >= DEAF_ROUNDS {
+            deaf = 0;
+            node.lock().deaf_until = Some(node.now() + DEAF_FOR);
+            step_down(
+                &node,
+                &tenure,
+                "it hears too few workers, and another controller does",
+            )
+            .await;
+        } else if nearer_peer(&node) {
+            step_down(
+                &node,
+                &tenure,
+                "a controller nearer to the machines can take over",
+            )
+            .await;
+        }
+    }
+}
+
+/// The owner works out which zone holds most of the machines.
+fn note_main_zone(node: &Node) {
+    let mut inner = node.lock();
+    let Some(own) = &inner.ownership else {
+        return;
+    };
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for machine in own.shard.machines().values().filter(|m| m.should_report()) {
+        *zones.entry(&machine.zone).or_default() += 1;
+    }
+    // Only a zone with a controller can be preferred.
+    let platform = &node.settings.platform;
+    let main = zones
+        .into_iter()
+        .filter(|(zone, _)| {
+            platform.area == **zone || platform.others.iter().any(|peer| peer.area == **zone)
+        })
+        .max_by_key(|(_, count)| *count)
+        .map(|(zone, _)| zone.to_owned());
+    if main.is_some() {
+        inner.main_zone = main;
+    }
+}
+
+/// Whether this owner hears too few workers while a peer hears more.
+fn is_deaf(node: &Node) -> bool {
+    let now = node.now();
+    let inner = node.lock();
+    let Some(own) = &inner.ownership else {
+        return false;
+    };
+    if now.saturating_duration_since(own.tenure.since) < HEARD {
+        return false;
+    }
+    let (heard, expected) = own.shard.hearing(now);
+    expected > 1
+        && heard * 2 < expected
+        && inner.peers.values().any(|view| {
+            now.saturating_duration_since(view.at) < Duration::from_secs(3)
+                && view.pulse.state_served
+                && view.pulse.workers_heard as usize > heard
+        })
+}
+
+/// Whether a peer in the zone of most machines could run the shard instead.
+fn nearer_peer(node: &Node) -> bool {
+    let now = node.now();
+    let inner = node.lock();
+    let (Some(own), Some(main)) = (&inner.ownership, &inner.main_zone) else {
+        return false;
+    };
+    *main != node.settings.platform.area
+        && now.saturating_duration_since(own.tenure.since) > LEAST_TENURE
+        && inner.peers.values().any(|view| {
+            now.saturating_duration_since(view.at) < Duration::from_secs(2)
+                && view.pulse.zone == *main
+                && view.pulse.state_served
+                && view.pulse.up_s > LEAST_TENURE.as_secs()
+        })
+}
--- /dev/null
+++ b/src/coordination/requests.rs
@@ -0,0 +1,387 @@
+//! What users ask, answered from the state service and the owner's memory.
+//!
+//! Final states and "never accepted" are told only from a read of the store;
+//! the owner's memory adds what lies between.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+use tracing::debug;
+
+use super::node::Node;
+use super::peering;
+use super::shard::Policy;
+use crate::protocol::cloud::MachineType;
+use crate::protocol::peers::{PeerAnswer, PeerRequest};
+use crate::protocol::state::{Change, Item, Txn};
+use crate::protocol::users::{JobKind, JobSpec, JobView, Stage, parse_submission, valid_job_id};
+use crate::settings::platform::Peer;
+use crate::storage::client::{StateError, TxnOutcome, backoff};
+use crate::storage::keys;
+use crate::storage::records::{FinalRecord, JobRecord, VERSION};
+
+/// Deadline of one request to the state service on a user's behalf.
+const STORE: Duration = Duration::from_millis(700);
+/// Deadline of a request handed to a peer.
+const FORWARD: Duration = Duration::from_millis(900);
+/// Tries after a 429, which only means that others are being served.
+const BUSY_TRIES: u32 = 4;
+
+/// An answer for a user.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    fn json(status: u16, value: &impl serde::Serialize) -> Self {
+        Self {
+            status,
+            body: serde_json::to_vec(value).unwrap_or_default(),
+        }
+    }
+
+    fn view(status: u16, view: &JobView) -> Self {
+        Self::json(status, view)
+    }
+
+    /// The service can't take or answer this now; come back soon.
+    pub fn unavailable(why: &str) -> Self {
+        Self::json(503, &json!({ "error": why }))
+    }
+
+    pub fn not_found() -> Self {
+        Self::json(404, &json!({ "error": "no such job" }))
+    }
+
+    pub fn malformed(why: &str, field: Option<&str>) -> Self {
+        Self::json(400, &json!({ "error": why, "field": field }))
+    }
+
+    fn impossible(why: &str, field: &str) -> Self {
+        Self::json(422, &json!({ "error": why, "field": field }))
+    }
+}
+
+/// What is asked of a job.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    Submit(Vec<u8>),
+    Poll(String),
+    Cancel(String),
+}
+
+impl Ask {
+    /// Reads a request that a peer forwards.
+    pub fn from_forward(method: &str, path: &str, body: Vec<u8>) -> Option<Self> {
+        match (method, path.strip_prefix("/v1/jobs")?) {
+            ("POST", "") => Some(Self::Submit(body)),
+            ("GET", rest) => Some(Self::Poll(rest.strip_prefix('/')?.to_owned())),
+            ("POST", rest) => {
+                let id = rest.strip_prefix('/')?.strip_suffix("/cancel")?;
+                Some(Self::Cancel(id.to_owned()))
+            }
+            _ => None,
+        }
+    }
+
+    fn to_forward(&self) -> PeerRequest {
+        let (method, path, body) = match self {
+            Self::Submit(body) => ("POST", "/v1/jobs".to_owned(), body.clone()),
+            Self::Poll(id) => ("GET", format!("/v1/jobs/{id}"), Vec::new()),
+            Self::Cancel(id) => ("POST", format!("/v1/jobs/{id}/cancel"), Vec::new()),
+        };
+        PeerRequest::Forward {
+            method: method.to_owned(),
+            path,
+            body,
+        }
+    }
+}
+
+/// Answers a user's request; `forwarded` ones are not handed on again.
+pub async fn answer(node: &Arc<Node>, ask: Ask, forwarded: bool) -> Reply {
+    // What is wrong in itself is refused wherever it arrives.
+    let submission = match &ask {
+        Ask::Submit(body) => match parse_submission(body) {
+            Ok((id, spec)) => Some((id, spec)),
+            Err(error) => return Reply::malformed(&error.to_string(), error.field()),
+        },
+        Ask::Poll(id) | Ask::Cancel(id) if !valid_job_id(id) => return Reply::not_found(),
+        _ => None,
+    };
+    if !forwarded {
+        if let Ask::Poll(_) = &ask
+            && let Some(owner) = owner_peer(node)
+            && let Some(reply) = forward(node, &owner, &ask).await
+        {
+            return reply;
+        }
+        if node.state_lost() && node.peer_served() {
+            return hand_on(node, &ask).await;
+        }
+    }
+    let result = match (&ask, submission) {
+        (Ask::Submit(_), Some((id, spec))) => submit(node, &id, spec).await,
+        (Ask::Poll(id), _) => poll(node, id).await,
+        (Ask::Cancel(id), _) => cancel(node, id).await,
+        (Ask::Submit(_), None) => return Reply::malformed("not a submission", None),
+    };
+    match result {
+        Ok(reply) => reply,
+        Err(error) => {
+            debug!(%error, "a user's request can't be answered from the store");
+            if forwarded {
+                Reply::unavailable("the state service does not answer")
+            } else {
+                hand_on(node, &ask).await
+            }
+        }
+    }
+}
+
+/// The peer that runs the shard, if it is one.
+fn owner_peer(node: &Node) -> Option<Peer> {
+    let label = node.owner_label()?;
+    node.settings
+        .platform
+        .others
+        .iter()
+        .find(|peer| peer.label == label)
+        .cloned()
+}
+
+/// Hands a request to the peers that the state service serves, one by one.
+async fn hand_on(node: &Arc<Node>, ask: &Ask) -> Reply {
+    let served: Vec<Peer> = {
+        let now = node.now();
+        let inner = node.lock();
+        node.settings
+            .platform
+            .others
+            .iter()
+            .filter(|peer| {
+                inner.peers.get(&peer.label).is_some_and(|view| {
+                    view.pulse.state_served
+                        && now.saturating_duration_since(view.at) < Duration::from_secs(3)
+                })
+            })
+            .cloned()
+            .collect()
+    };
+    for peer in served {
+        if let Some(reply) = forward(node, &peer, ask).await {
+            return reply;
+        }
+    }
+    Reply::unavailable("the state service does not answer")
+}
+
+async fn forward(node: &Arc<Node>, peer: &Peer, ask: &Ask) -> Option<Reply> {
+    match peering::ask(node, peer, &ask.to_forward(), FORWARD).await? {
+        PeerAnswer::Answer { status, body } if status != 503 => Some(Reply { status, body }),
+        _ => None,
+    }
+}
+
+fn view(id: &str, stage: Stage, done: u32, running: u32) -> JobView {
+    JobView {
+        id: id.to_owned(),
+        stage,
+        done: Some(done),
+        running: Some(running),
+    }
+}
+
+/// Tries again while the store is merely busy.
+async fn patient<T, F: Future<Output = Result<T, StateError>>>(
+    mut call: impl FnMut() -> F,
+) -> Result<T, StateError> {
+    let mut attempt = 0;
+    loop {
+        match call().await {
+            Err(StateError::Refused("429")) if attempt < BUSY_TRIES => {
+                attempt += 1;
+                tokio::time::sleep(backoff(attempt)).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+async fn submit(node: &Arc<Node>, id: &str, spec: JobSpec) -> Result<Reply, StateError> {
+    let types = node.lock().types.clone();
+    let Some(types) = types else {
+        return Ok(Reply::unavailable("the machine types are not known yet"));
+    };
+    if let Some(reply) = never_runs(&Policy::new(&node.settings), &types, &spec) {
+        return Ok(reply);
+    }
+    let record = JobRecord {
+        v: VERSION,
+        at_ms: super::shard::wall_ms(),
+        spec,
+    };
+    let value = serde_json::to_value(&record).map_err(|e| StateError::Unexpected(e.to_string()))?;
+    let txn = Txn::default()
+        .guard(keys::job(id), 0)
+        .guard(keys::final_job(id), 0)
+        .change(Change::put(keys::job(id), value));
+    match patient(|| node.state.txn(&txn, STORE)).await? {
+        TxnOutcome::Committed { revision } => {
+            if let Some(tenure) = node.tenure() {
+                node.with_shard(&tenure, |shard, now| {
+                    shard.job_put(id, revision, record, now)
+                });
+            }
+            Ok(Reply::view(
+                201,
+                &JobView {
+                    id: id.to_owned(),
+                    stage: Stage::Pending,
+                    done: None,
+                    running: None,
+                },
+            ))
+        }
+        TxnOutcome::Conflict => poll(node, id).await,
+    }
+}
+
+/// Whether a job can never run, and why.
+fn never_runs(policy: &Policy, types: &[MachineType], spec: &JobSpec) -> Option<Reply> {
+    let Some(team) = policy.teams.get(&spec.team) else {
+        return Some(Reply::impossible("unknown team", "Section"));
+    };
+    let fits = types.iter().any(|kind| {
+        spec.machine_types
+            .as_ref()
+            .is_none_or(|types| types.contains(&kind.name))
+            && spec
+                .zone
+                .as_ref()
+                .is_none_or(|zone| kind.zones.contains(zone))
+            && kind.cores >= spec.cores
+            && kind.accelerators >= spec.accelerators
+            && kind.mem_gb >= spec.mem_gb
+    });
+    if !fits {
+        return Some(Reply::impossible(
+            "a task fits no allowed machine type",
+            "Instruments",
+        ));
+    }
+    let at_once = match spec.kind {
+        JobKind::Batch => 1.0,
+        JobKind::Standing => f64::from(spec.tasks),
+    };
+    let over = |need: f64, most: f64| most > 0.0 && need * at_once > most + 1e-9;
+    if over(spec.cores, team.cores_max) {
+        return Some(Reply::impossible("more than the team's limit", "Cores"));
+    }
+    if over(spec.accelerators, team.accelerators_max) {
+        return Some(Reply::impossible(
+            "more than the team's limit",
+            "Accelerators",
+        ));
+    }
+    None
+}
+
+async fn read(node: &Node, key: &str) -> Result<Option<Item>, StateError> {
+    patient(|| node.state.get(key, STORE)).await
+}
+
+async fn read_final(node: &Node, id: &str) -> Result<Option<FinalRecord>, StateError> {
+    let item = read(node, &keys::final_job(id)).await?;
+    item.map(|item| {
+        serde_json::from_value(item.value).map_err(|e| StateError::Unexpected(e.to_string()))
+    })
+    .transpose()
+}
+
+/// Reads the unfinished record first: a job moves from there to the final
+/// one and never back, so that finding neither means it never was.
+async fn poll(node: &Arc<Node>, id: &str) -> Result<Reply, StateError> {
+    if read(node, &keys::job(id)).await?.is_some() {
+        let seen = node
+            .tenure()
+            .and_then(|tenure| node.with_shard(&tenure, |shard, _| shard.view(id)))
+            .flatten();
+        let (stage, done, running) = seen.unwrap_or((Stage::Pending, 0, 0));
+        return Ok(Reply::view(200, &view(id, stage, done, running)));
+    }
+    Ok(match read_final(node, id).await? {
+        Some(last) => Reply::view(200, &final_view(id, &last)),
+        None => Reply::not_found(),
+    })
+}
+
+fn final_view(id: &str, last: &FinalRecord) -> JobView {
+    let done = if last.stage == Stage::Done {
+        last.tasks
+    } else {
+        0
+    };
+    view(id, last.stage, done, 0)
+}
+
+async fn cancel(node: &Arc<Node>, id: &str) -> Result<Reply, StateError> {
+    let mut attempt = 0;
+    loop {
+        let Some(item) = read(node, &keys::job(id)).await? else {
+            return Ok(match read_final(node, id).await? {
+                Some(last) => Reply::view(
+                    200,
+                    &JobView {
+                        id: id.to_owned(),
+                        stage: last.stage,
+                        done: None,
+                        running: None,
+                    },
+                ),
+                None => Reply::not_found(),
+            });
+        };
+        let record: JobRecord = serde_json::from_value(item.value)
+            .map_err(|e| StateError::Unexpected(e.to_string()))?;
+        let last = FinalRecord {
+            v: VERSION,
+            stage: Stage::Cancelled,
+            tasks: record.spec.tasks,
+            spec: record.spec,
+        };
+        let value =
+            serde_json::to_value(&last).map_err(|e| StateError::Unexpected(e.to_string()))?;
+        let txn = Txn::default()
+            .guard(keys::job(id), item.version)
+            .change(Change::delete(keys::job(id)))
+            .change(Change::put(keys::final_job(id), value));
+        match patient(|| node.state.txn(&txn, STORE)).await? {
+            TxnOutcome::Committed { .. } => {
+                if let Some(tenure) = node.tenure() {
+                    node.with_shard(&tenure, |shard, now| {
+                        shard.job_gone(id, Some(Stage::Cancelled), now);
+                    });
+                }
+                return Ok(Reply::view(
+                    200,
+                    &JobView {
+                        id: id.to_owned(),
+                        stage: Stage::Cancelled,
+                        done: None,
+                        running: None,
+                    },
+                ));
+            }
+            TxnOutcome::Conflict => {
+                attempt += 1;
+                if attempt > 5 {
+                    return Err(StateError::Refused("conflicts"));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/cluster.rs
@@ -0,0 +1,113 @@
+//! Take-over: from what is stored to a shard that can act.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::fleet::Fleet;
+use super::placement::wall_ms;
+use super::{Job, Machine, Policy, Shard, writes};
+use crate::protocol::MachineId;
+use crate::storage::records::{BookingRecord, JobRecord, RosterRecord};
+use crate::storage::snapshot;
+
+/// Bits of a task's attempt number below the term's.
+const TAKE_BITS: u32 = 24;
+
+/// A machine of the stored roster.
+#[derive(Debug, Clone)]
+pub struct LoadedMachine {
+    pub id: String,
+    pub record: RosterRecord,
+}
+
+/// What was read after the term was raised.
+#[derive(Debug, Default, Clone)]
+pub struct Loaded {
+    pub jobs: Vec<(String, u64, JobRecord)>,
+    pub roster: Vec<LoadedMachine>,
+    pub chunks: BTreeMap<String, Value>,
+    pub bookings: Vec<BookingRecord>,
+}
+
+impl Shard {
+    /// A shard just acquired. Everything loaded must have been read after the
+    /// ownership record was written.
+    pub fn take_over(policy: Policy, term: u64, loaded: Loaded, now: Instant) -> Self {
+        let mut shard = Self {
+            policy,
+            term,
+            acquired: now,
+            types: HashMap::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            gone: HashMap::new(),
+            unresolved: BTreeSet::new(),
+            fleet: Fleet::default(),
+            writes: writes::Writer::default(),
+            // A task's attempt number never repeats, whatever was lost: the
+            // term is in it.
+            next_take: term << TAKE_BITS,
+            next_command: 0,
+            restless: true,
+            out: Vec::new(),
+        };
+        let wall = wall_ms();
+        for (id, mark, record) in loaded.jobs {
+            let age = Duration::from_millis(wall.saturating_sub(record.at_ms));
+            let at = now.checked_sub(age).unwrap_or(now);
+            shard.fleet.note_arrival(&record.spec, at, now);
+            let id = id.as_str().into();
+            shard
+                .jobs
+                .insert(std::sync::Arc::clone(&id), Job::new(id, mark, record));
+        }
+        for (id, progress) in snapshot::decode(loaded.chunks.values()) {
+            if let Some(job) = shard.jobs.get_mut(id.as_str()) {
+                for (from, to) in progress.done.ranges() {
+                    for n in from..=to.min(job.spec.tasks - 1) {
+                        job.done.insert(n);
+                    }
+                }
+            }
+        }
+        shard.writes.written = loaded.chunks;
+        let lease_over = now + shard.policy.lease_surely_over();
+        for LoadedMachine { id, record } in loaded.roster {
+            let id: MachineId = id.as_str().into();
+            let mut machine = Machine::new(id.clone(), now, lease_over);
+            machine.addr = record.addr;
+            machine.machine_type = record.machine_type;
+            machine.zone = record.zone;
+            machine.spot = record.spot;
+            machine.admitted = true;
+            shard.unresolved.insert(id.clone());
+            shard.machines.insert(id.clone(), machine);
+            if record.returning {
+                shard.begin_deletion(&id, now, "its return was on record");
+            } else {
+                shard.probe(&id, 1);
+            }
+        }
+        for booking in loaded.bookings {
+            shard.resume_booking(booking.rental, now);
+        }
+        let complete: Vec<_> = shard
+            .jobs
+            .values()
+            .filter(|job| job.all_done())
+            .map(|job| job.id.clone())
+            .collect();
+        for id in complete {
+            shard.finish_if_done(&id);
+        }
+        tracing::info!(term, summary = shard.summary(), "shard taken over");
+        shard
+    }
+
+    pub(super) fn new_take(&mut self) -> u64 {
+        self.next_take += 1;
+        self.next_take
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/fleet.rs
@@ -0,0 +1,721 @@
+//! Renting machines for what waits, and giving back what isn't needed.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::machines::Amounts;
+use super::placement::allowed;
+use super::{Action, Machine, Shard};
+use crate::protocol::MachineId;
+use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
+use crate::protocol::users::{JobKind, JobSpec};
+
+/// Most machines in one rental request.
+const MOST_PER_RENTAL: u32 = 50;
+/// Waiting tasks of one job that a plan looks at.
+const MOST_FORESEEN: u32 = 5000;
+/// Pause between two plans.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// How long arrivals are remembered to foresee the next ones.
+const ARRIVALS: Duration = Duration::from_secs(120);
+/// A machine is charged for this long at least.
+const LEAST_CHARGE: Duration = Duration::from_secs(60);
+/// A run time to reckon with where none is given.
+const LONG_RUN_S: f64 = 600.0;
+/// Names of machines that are gone are kept at least this long.
+const REMEMBER_GONE: Duration = Duration::from_secs(900);
+/// Pause before a rental or a deletion is tried again.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What became of a rental request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RentalOutcome {
+    Rented(Vec<String>),
+    NoCapacity,
+    /// Malformed in the cloud's eyes: not to be repeated.
+    Rejected,
+    /// It may have been carried out, or may still be.
+    Unknown,
+}
+
+/// A rental under way.
+#[derive(Debug)]
+struct Booking {
+    rental: Rental,
+    retry: Option<Instant>,
+}
+
+/// What is known of a class of jobs.
+#[derive(Debug)]
+struct ClassHistory {
+    spec: Arc<JobSpec>,
+    arrivals: VecDeque<(Instant, u32)>,
+}
+
+/// The cloud's side of the shard.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    bookings: BTreeMap<String, Booking>,
+    refused: HashMap<(String, String, bool), Instant>,
+    next_booking: u64,
+    last_plan: Option<Instant>,
+    classes: BTreeMap<String, ClassHistory>,
+}
+
+impl Fleet {
+    /// Remembers a job that was accepted at a moment not long before `now`.
+    pub fn note_arrival(&mut self, spec: &JobSpec, at: Instant, now: Instant) {
+        let history = self
+            .classes
+            .entry(spec.class.clone())
+            .or_insert_with(|| ClassHistory {
+                spec: Arc::new(spec.clone()),
+                arrivals: VecDeque::new(),
+            });
+        if *history.spec != *spec {
+            history.spec = Arc::new(spec.clone());
+        }
+        history.arrivals.push_back((at, spec.tasks));
+        while history
+            .arrivals
+            .front()
+            .is_some_and(|(at, _)| now.saturating_duration_since(*at) > ARRIVALS)
+        {
+            history.arrivals.pop_front();
+        }
+    }
+}
+
+/// Room that is there or will be, for the plan.
+struct Bin {
+    machine: Option<MachineId>,
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    free: Amounts,
+    used: bool,
+    /// Sort: busy machines, idle ones, those that are yet to come.
+    rank: u8,
+}
+
+/// A wish for room.
+struct Demand {
+    spec: Arc<JobSpec>,
+    count: u32,
+    /// Rather ordinary machines than cheap ones that may be taken back.
+    steady: bool,
+}
+
+/// Something that can be rented.
+#[derive(Clone)]
+struct Offer {
+    kind: Arc<MachineType>,
+    zone: String,
+    spot: bool,
+    price: f64,
+}
+
+impl Shard {
+    pub(super) fn manage_fleet(&mut self, now: Instant) {
+        self.retry_cloud(now);
+        self.abandon_lost(now);
+        if self
+            .fleet
+            .last_plan
+            .is_some_and(|last| now.saturating_duration_since(last) < PLAN_EVERY)
+        {
+            return;
+        }
+        self.fleet.last_plan = Some(now);
+        self.gone
+            .retain(|_, at| now.saturating_duration_since(*at) < REMEMBER_GONE);
+        if self.types.is_empty() {
+            return;
+        }
+        self.plan(now);
+    }
+
+    fn retry_cloud(&mut self, now: Instant) {
+        for booking in self.fleet.bookings.values_mut() {
+            if booking.retry.is_some_and(|at| at <= now) {
+                booking.retry = None;
+                self.out.push(Action::Rent(booking.rental.clone()));
+            }
+        }
+        for machine in self.machines.values_mut() {
+            if machine.deletion_since.is_some_and(|at| at <= now) {
+                machine.deletion_since = None;
+                self.out.push(Action::Delete(vec![machine.id.clone()]));
+            }
+        }
+    }
+
+    /// Gives back machines that are silent, so that their tasks can move.
+    fn abandon_lost(&mut self, now: Instant) {
+        let since = |m: &Machine| {
+            now.saturating_duration_since(m.heard.unwrap_or(self.acquired).max(self.acquired))
+        };
+        let expected: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.should_report())
+            .collect();
+        let silent = expected
+            .iter()
+            .filter(|m| since(m) >= self.policy.suspect)
+            .count();
+        // When much is silent at once, the trouble is more likely ours.
+        let many = silent > 1 && silent * 3 > expected.len();
+        let soon = self.policy.report.mul_f64(1.4);
+        let lost: Vec<(MachineId, &str)> = expected
+            .iter()
+            .filter_map(|m| {
+                let silence = since(m);
+                let taken = m.vanished || m.notice.is_some_and(|at| at <= now);
+                if taken && silence >= soon {
+                    Some((m.id.clone(), "the cloud has taken it"))
+                } else if silence >= self.policy.abandon && !many {
+                    Some((m.id.clone(), "its worker is silent"))
+                } else if now > m.lease_over && silence >= self.policy.worker_lease {
+                    Some((m.id.clone(), "its worker's lease is over"))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        for (id, why) in lost {
+            self.begin_deletion(&id, now, why);
+        }
+    }
+
+    /// Gives a machine back; its tasks count until the cloud says 200.
+    pub(super) fn begin_deletion(&mut self, id: &MachineId, now: Instant, why: &str) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.deleting {
+            return;
+        }
+        machine.deleting = true;
+        tracing::info!(
+            machine = %id,
+            age_s = now.saturating_duration_since(machine.rented).as_secs(),
+            why,
+            "machine given back"
+        );
+        self.record_return(id);
+    }
+
+    /// The cloud answered (or didn't) a deletion.
+    pub fn deletion_answered(&mut self, ids: &[MachineId], done: bool, now: Instant) {
+        for id in ids {
+            if done {
+                // The machine and everything on it are gone.
+                self.empty_machine(id, now);
+                if self.machines.remove(id).is_some() {
+                    self.record_gone(id);
+                }
+                self.gone.insert(id.clone(), now);
+            } else if let Some(machine) = self.machines.get_mut(id) {
+                machine.deletion_since = Some(now + RETRY);
+            }
+        }
+        self.restless = true;
+    }
+
+    /// The cloud answered (or didn't) a rental.
+    pub fn rental_answered(&mut self, request: &str, outcome: RentalOutcome, now: Instant) {
+        let Some(booking) = self.fleet.bookings.get_mut(request) else {
+            return;
+        };
+        let rental = booking.rental.clone();
+        let key = (
+            rental.machine_type.clone(),
+            rental.zone.clone(),
+            rental.spot,
+        );
+        match outcome {
+            RentalOutcome::Unknown => {
+                booking.retry = Some(now + RETRY);
+                return;
+            }
+            RentalOutcome::Rented(names) => {
+                if (names.len() as u32) < rental.count {
+                    self.fleet.refused.insert(key, now + self.policy.refused);
+                }
+                tracing::info!(
+                    request,
+                    machine_type = rental.machine_type,
+                    zone = rental.zone,
+                    spot = rental.spot,
+                    asked = rental.count,
+                    got = names.len(),
+                    "machines rented"
+                );
+                for name in names {
+                    self.expect_machine(
+                        &name,
+                        &rental.machine_type,
+                        &rental.zone,
+                        rental.spot,
+                        now,
+                    );
+                }
+            }
+            RentalOutcome::NoCapacity | RentalOutcome::Rejected => {
+                self.fleet.refused.insert(key, now + self.policy.refused);
+            }
+        }
+        self.fleet.bookings.remove(request);
+        self.record_answer(request);
+        self.restless = true;
+    }
+
+    fn expect_machine(
+        &mut self,
+        name: &str,
+        machine_type: &str,
+        zone: &str,
+        spot: bool,
+        rented: Instant,
+    ) {
+        let id: MachineId = name.into();
+        if self.gone.contains_key(&id) || self.machines.contains_key(&id) {
+            return;
+        }
+        let mut machine = Machine::new(id.clone(), rented, rented);
+        machine.machine_type = machine_type.to_owned();
+        machine.zone = zone.to_owned();
+        machine.spot = spot;
+        self.machines.insert(id, machine);
+    }
+
+    /// A rental that an earlier owner recorded and perhaps requested.
+    pub(super) fn resume_booking(&mut self, rental: Rental, _now: Instant) {
+        self.out.push(Action::Rent(rental.clone()));
+        self.fleet.bookings.insert(
+            rental.request.clone(),
+            Booking {
+                rental,
+                retry: None,
+            },
+        );
+    }
+
+    /// The whole machine list, as old as it may be.
+    pub fn listed(&mut self, list: &[Listed], now: Instant) {
+        let mut failed = Vec::new();
+        for entry in list {
+            if entry.state == ListedState::Failed {
+                if !self.gone.contains_key(entry.id.as_str()) {
+                    failed.push(MachineId::from(entry.id.as_str()));
+                }
+            }
+            let age = Duration::from_secs_f64(entry.age_s.clamp(0.0, 1e8));
+            let rented = now.checked_sub(age).unwrap_or(now);
+            self.expect_machine(
+                &entry.id,
+                &entry.machine_type,
+                &entry.zone,
+                entry.spot,
+                rented,
+            );
+            if let Some(machine) = self.machines.get_mut(entry.id.as_str()) {
+                machine.listed = true;
+                machine.vanished = false;
+                machine.rented = machine.rented.min(rented);
+                if machine.addr.is_empty() {
+                    machine.addr.clone_from(&entry.addr);
+                }
+            }
+        }
+        let present: std::collections::HashSet<&str> =
+            list.iter().map(|entry| entry.id.as_str()).collect();
+        for machine in self.machines.values_mut() {
+            // A list may be older than the one before: this alone proves
+            // nothing, but a machine that is silent as well is best deleted.
+            machine.vanished = !present.contains(&*machine.id)
+                && (machine.listed || machine.heard.is_some() || machine.admitted);
+        }
+        for id in failed {
+            self.begin_deletion(&id, now, "the cloud lists it as failed");
+        }
+        self.restless = true;
+    }
+
+    /// Compares the room that is wanted with the room there is.
+    fn plan(&mut self, now: Instant) {
+        let mut bins = self.bins(now);
+        let demands = self.demands(now);
+        let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        for demand in demands {
+            let mut left = demand.count;
+            let spread = demand.spec.tasks.div_ceil(2);
+            let mut per_zone: HashMap<String, u32> = HashMap::new();
+            for bin in &mut bins {
+                if left == 0 {
+                    break;
+                }
+                if !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
+                    continue;
+                }
+                let mut n = bin.free.fits(&demand.spec).min(left);
+                if demand.spec.scatter {
+                    let there = per_zone.entry(bin.zone.clone()).or_default();
+                    n = n.min(spread.saturating_sub(*there));
+                    *there += n;
+                }
+                for _ in 0..n {
+                    bin.free.take(&demand.spec);
+                }
+                bin.used |= n > 0;
+                left -= n;
+            }
+            while left > 0 {
+                let Some(offer) = self.best_offer(&demand, left, now) else {
+                    break;
+                };
+                let mut free = Amounts::of_type(&offer.kind);
+                let n = free.fits(&demand.spec).min(left);
+                if n == 0 {
+                    break;
+                }
+                for _ in 0..n {
+                    free.take(&demand.spec);
+                }
+                left -= n;
+                let key = (offer.kind.name.clone(), offer.zone.clone(), offer.spot);
+                *wanted.entry(key).or_default() += 1;
+                bins.push(Bin {
+                    machine: None,
+                    machine_type: offer.kind.name.clone(),
+                    zone: offer.zone.clone(),
+                    spot: offer.spot,
+                    free,
+                    used: true,
+                    rank: 2,
+                });
+            }
+        }
+        for ((machine_type, zone, spot), count) in wanted {
+            self.book(machine_type, zone, spot, count.min(MOST_PER_RENTAL));
+        }
+        self.give_back(&bins, now);
+    }
+
+    fn book(&mut self, machine_type: String, zone: String, spot: bool, count: u32) {
+        let same = |b: &Booking| {
+            b.rental.machine_type == machine_type && b.rental.zone == zone && b.rental.spot == spot
+        };
+        // One request for a kind at a time: its answer tells of the capacity.
+        if self.fleet.bookings.values().any(same) {
+            return;
+        }
+        self.fleet.next_booking += 1;
+        let rental = Rental {
+            request: format!(
+                "{}-{}-{}",
+                self.policy.label, self.term, self.fleet.next_booking
+            ),
+            machine_type,
+            zone,
+            spot,
+            count,
+        };
+        self.record_booking(&rental);
+        self.fleet.bookings.insert(
+            rental.request.clone(),
+            Booking {
+                rental,
+                retry: None,
+            },
+        );
+    }
+
+    fn bins(&self, now: Instant) -> Vec<Bin> {
+        let mut bins = Vec::new();
+        for machine in self.machines.values() {
+            let Some(kind) = self.types.get(&machine.machine_type) else {
+                continue;
+            };
+            let doomed = machine.deleting
+                || machine.condemned
+                || machine.notice.is_some()
+                || machine.vanished;
+            if doomed {
+                continue;
+            }
+            let coming = machine.heard.is_none() && !machine.admitted;
+            if coming {
+                // A machine that takes far too long is better not counted on.
+                let age = now.saturating_duration_since(machine.rented);
+                if age > startup(kind).mul_f64(2.0) + Duration::from_secs(3) {
+                    continue;
+                }
+            } else if machine.heard.is_some() && machine.silence(now) > self.policy.suspect {
+                continue;
+            }
+            bins.push(Bin {
+                machine: Some(machine.id.clone()),
+                machine_type: machine.machine_type.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                free: machine.free(kind),
+                used: false,
+                rank: match (coming, machine.busy()) {
+                    (false, true) => 0,
+                    (false, false) => 1,
+                    (true, _) => 2,
+                },
+            });
+        }
+        for booking in self.fleet.bookings.values() {
+            let rental = &booking.rental;
+            if let Some(kind) = self.types.get(&rental.machine_type) {
+                for _ in 0..rental.count {
+                    bins.push(Bin {
+                        machine: None,
+                        machine_type: rental.machine_type.clone(),
+                        zone: rental.zone.clone(),
+                        spot: rental.spot,
+                        free: Amounts::of_type(kind),
+                        used: false,
+                        rank: 2,
+                    });
+                }
+            }
+        }
+        bins.sort_by(|a, b| {
+            a.rank
+                .cmp(&b.rank)
+                .then(a.free.cores.total_cmp(&b.free.cores))
+                .then(a.machine.cmp(&b.machine))
+        });
+        bins
+    }
+
+    /// What waits, what is likely to come, and what is guaranteed.
+    fn demands(&self, now: Instant) -> Vec<Demand> {
+        let mut demands = Vec::new();
+        let wall = super::placement::wall_ms();
+        let mut usage = self.usage();
+        let mut jobs: Vec<_> = self.jobs.values().filter(|j| j.waiting() > 0).collect();
+        jobs.sort_by_key(|job| {
+            (
+                std::cmp::Reverse(job.spec.priority),
+                job.due_ms(),
+                job.at_ms,
+            )
+        });
+        for job in jobs {
+            // Work that may wait for long first tries to find room by itself.
+            let patience = self
+                .policy
+                .wait_within
+                .get(&job.spec.class)
+                .map_or(Duration::ZERO, |within| within.mul_f64(0.2));
+            let age = Duration::from_millis(wall.saturating_sub(job.at_ms));
+            let patient = patience > Duration::from_secs(20) && age < patience;
+            if patient || job.failures > 3 {
+                continue;
+            }
+            let mut count = 0;
+            let waiting = job.waiting().min(MOST_FORESEEN);
+            while count < waiting && self.within_limit(&usage, &job.spec) {
+                usage.add(&job.spec);
+                count += 1;
+            }
+            demands.push(Demand {
+                spec: job.spec.clone(),
+                count,
+                steady: false,
+            });
+        }
+        self.foreseen(&mut demands, now);
+        self.guaranteed(&mut demands);
+        demands
+    }
+
+    /// Room for jobs that can't wait until a machine is up.
+    fn foreseen(&self, demands: &mut Vec<Demand>, now: Instant) {
+        let quickest = self
+            .types
+            .values()
+            .map(|kind| startup(kind))
+            .min()
+            .unwrap_or_default();
+        for (class, history) in &self.fleet.classes {
+            let within = self.policy.wait_within.get(class).copied();
+            if within.is_none_or(|within| within > quickest) {
+                continue;
+            }
+            let seen: u32 = history
+                .arrivals
+                .iter()
+                .filter(|(at, _)| now.saturating_duration_since(*at) < ARRIVALS)
+                .map(|(_, tasks)| *tasks)
+                .sum();
+            let window = ARRIVALS
+                .min(now.saturating_duration_since(self.acquired))
+                .max(Duration::from_secs(30));
+            let rate = f64::from(seen) / window.as_secs_f64();
+            let expected = rate * (quickest.as_secs_f64() * 1.5 + 10.0);
+            let running = self
+                .jobs
+                .values()
+                .filter(|job| job.spec.class == *class)
+                .map(|job| job.live.len())
+                .sum::<usize>() as f64;
+            let count = (expected + expected.sqrt()).max(running * self.policy.headroom);
+            demands.push(Demand {
+                spec: history.spec.clone(),
+                count: count.ceil().clamp(1.0, 1000.0) as u32,
+                steady: false,
+            });
+        }
+    }
+
+    /// Room for what the teams are guaranteed and don't use yet: they needn't
+    /// wait for machines either.
+    fn guaranteed(&self, demands: &mut Vec<Demand>) {
+        let usage = self.usage();
+        for (name, team) in &self.policy.teams {
+            let unused = team.cores - usage.of(name).cores;
+            if unused <= 0.0 {
+                continue;
+            }
+            let Some(spec) = self
+                .fleet
+                .classes
+                .values()
+                .map(|history| &history.spec)
+                .filter(|spec| spec.cores > 0.0)
+                .min_by_key(|spec| {
+                    (
+                        spec.team != *name,
+                        std::cmp::Reverse(spec.kind == JobKind::Batch),
+                    )
+                })
+            else {
+                continue;
+            };
+            demands.push(Demand {
+                count: (unused / spec.cores).floor().clamp(0.0, 1e5) as u32,
+                spec: spec.clone(),
+                steady: true,
+            });
+        }
+    }
+
+    fn best_offer(&self, demand: &Demand, left: u32, now: Instant) -> Option<Offer> {
+        let spec = &demand.spec;
+        let mut best: Option<(f64, Offer)> = None;
+        for kind in self.types.values() {
+            let fits = Amounts::of_type(kind).fits(spec);
+            if fits == 0 {
+                continue;
+            }
+            for zone in &kind.zones {
+                for spot in [false, true] {
+                    let price = if spot {
+                        kind.spot_price
+                    } else {
+                        Some(kind.price)
+                    };
+                    let Some(price) = price.filter(|p| *p > 0.0) else {
+                        continue;
+                    };
+                    if !allowed(spec, &kind.name, zone, spot) {
+                        continue;
+                    }
+                    let key = (kind.name.clone(), zone.clone(), spot);
+                    if self
+                        .fleet
+                        .refused
+                        .get(&key)
+                        .is_some_and(|until| *until > now)
+                    {
+                        continue;
+                    }
+                    let run = if spec.duration_s > 0.0 {
+                        spec.duration_s.max(LEAST_CHARGE.as_secs_f64())
+                    } else {
+                        LONG_RUN_S
+                    };
+                    let boot = startup(kind).as_secs_f64();
+                    let mut cost = price * (boot + run) / run / f64::from(fits.min(left));
+                    if demand.steady && spot {
+                        cost *= 1e3;
+                    }
+                    // Equal offers are spread over the zones.
+                    let crowd = self
+                        .machines
+                        .values()
+                        .filter(|m| m.zone == *zone && m.machine_type == kind.name)
+                        .count() as f64;
+                    cost *= 1.0 + crowd * 1e-4;
+                    if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                        let offer = Offer {
+                            kind: kind.clone(),
+                            zone: zone.clone(),
+                            spot,
+                            price,
+                        };
+                        best = Some((cost, offer));
+                    }
+                }
+            }
+        }
+        best.map(|(_, offer)| offer)
+            .filter(|offer| offer.price > 0.0)
+    }
+
+    /// Gives back what is empty and in no plan, and what never came up.
+    fn give_back(&mut self, bins: &[Bin], now: Instant) {
+        let spare: std::collections::HashSet<&MachineId> = bins
+            .iter()
+            .filter(|bin| !bin.used)
+            .filter_map(|bin| bin.machine.as_ref())
+            .collect();
+        let mut back: Vec<(MachineId, &str)> = Vec::new();
+        for machine in self.machines.values().filter(|m| !m.deleting) {
+            let age = now.saturating_duration_since(machine.rented);
+            if machine.heard.is_none() && !machine.admitted {
+                let patience = match self.types.get(&machine.machine_type) {
+                    Some(kind) => startup(kind).mul_f64(4.0) + Duration::from_secs(30),
+                    None => Duration::from_secs(300),
+                };
+                if age > patience {
+                    back.push((machine.id.clone(), "it never came up"));
+                }
+                continue;
+            }
+            if machine
+                .attempts
+                .values()
+                .any(|a| !a.ended() || !a.clearable)
+            {
+                continue;
+            }
+            let idle = machine
+                .idle_since
+                .is_some_and(|since| now.saturating_duration_since(since) >= self.policy.idle);
+            if machine.condemned || machine.notice.is_some() {
+                back.push((machine.id.clone(), "it is empty and gets no more tasks"));
+            } else if idle
+                && spare.contains(&machine.id)
+                && age + Duration::from_secs(5) > LEAST_CHARGE
+            {
+                back.push((machine.id.clone(), "it is not needed"));
+            }
+        }
+        for (id, why) in back {
+            self.begin_deletion(&id, now, why);
+        }
+    }
+}
+
+fn startup(kind: &MachineType) -> Duration {
+    Duration::from_secs_f64(kind.startup_s.clamp(0.0, 1e6))
+}
--- /dev/null
+++ b/src/coordination/shard/jobs.rs
@@ -0,0 +1,214 @@
+//! Jobs as the owner keeps them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::{Action, Phase, Shard};
+use crate::protocol::users::{JobKind, JobSpec, Stage};
+use crate::protocol::{JobId, MachineId};
+use crate::storage::records::{FinalRecord, JobRecord};
+use crate::storage::task_set::TaskSet;
+
+/// Longest pause between the tries of a job that fails everywhere.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(60);
+
+/// A job and the progress of its tasks.
+#[derive(Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    /// The version of its record in the state service.
+    pub mark: u64,
+    /// Time of day of its acceptance, in milliseconds.
+    pub at_ms: u64,
+    pub done: TaskSet,
+    /// Tasks that may exist on a machine. Ended ones are not among them.
+    pub live: HashMap<u32, MachineId>,
+    /// Where tasks failed, to be avoided.
+    pub failed_on: BTreeSet<MachineId>,
+    pub failures: u32,
+    pub not_before: Option<Instant>,
+    /// Its final state, if it is over.
+    pub over: Option<Stage>,
+    pub finish_sent: bool,
+    /// First task that may still wait.
+    cursor: u32,
+}
+
+impl Job {
+    pub fn new(id: JobId, mark: u64, record: JobRecord) -> Self {
+        Self {
+            id,
+            spec: Arc::new(record.spec),
+            mark,
+            at_ms: record.at_ms,
+            done: TaskSet::default(),
+            live: HashMap::new(),
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            not_before: None,
+            over: None,
+            finish_sent: false,
+            cursor: 0,
+        }
+    }
+
+    /// Tasks that are neither done nor possibly on a machine.
+    pub fn waiting(&self) -> u32 {
+        if self.over.is_some() {
+            return 0;
+        }
+        // Done and live are disjoint but for a task that ended as done while
+        // another attempt of it may still exist.
+        let overlap = self.live.keys().filter(|n| self.done.contains(**n)).count() as u32;
+        (self.spec.tasks + overlap).saturating_sub(self.done.len() + self.live.len() as u32)
+    }
+
+    /// The next waiting task.
+    pub fn next_waiting(&mut self) -> Option<u32> {
+        while self.cursor < self.spec.tasks && self.done.contains(self.cursor) {
+            self.cursor += 1;
+        }
+        (self.cursor..self.spec.tasks)
+            .find(|n| !self.done.contains(*n) && !self.live.contains_key(n))
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.spec.kind == JobKind::Batch && self.done.len() >= self.spec.tasks
+    }
+
+    /// When it should be complete, in time of day.
+    pub fn due_ms(&self) -> u64 {
+        match self.spec.deadline_s {
+            Some(s) => self.at_ms.saturating_add((s * 1000.0) as u64),
+            None => u64::MAX,
+        }
+    }
+
+    /// Notes that a task failed by itself.
+    pub fn failed(&mut self, machine: &MachineId, now: Instant) {
+        self.failed_on.insert(machine.clone());
+        self.failures += 1;
+        let pause = Duration::from_millis(500) * (1 << self.failures.min(8));
+        // A single failure is most likely the machine's fault: try elsewhere
+        // at once.
+        if self.failures > 1 {
+            self.not_before = Some(now + pause.min(LONGEST_BACKOFF));
+        }
+    }
+}
+
+impl Shard {
+    /// A job was accepted (or its record was read again).
+    pub fn job_put(&mut self, id: &str, mark: u64, record: JobRecord, now: Instant) {
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        self.fleet.note_arrival(&record.spec, now, now);
+        let id: JobId = id.into();
+        self.jobs.insert(id.clone(), Job::new(id, mark, record));
+        self.restless = true;
+    }
+
+    /// All unfinished jobs, read again at a revision.
+    pub fn jobs_reread(
+        &mut self,
+        jobs: Vec<(String, u64, JobRecord)>,
+        revision: u64,
+        now: Instant,
+    ) {
+        let present: BTreeSet<String> = jobs.iter().map(|(id, ..)| id.clone()).collect();
+        let gone: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| job.mark <= revision && !present.contains(&*job.id))
+            .map(|job| job.id.clone())
+            .collect();
+        for id in gone {
+            self.job_gone(&id, None, now);
+        }
+        for (id, mark, record) in jobs {
+            self.job_put(&id, mark, record, now);
+        }
+    }
+
+    /// A job's record is gone: it is done or cancelled.
+    pub fn job_gone(&mut self, id: &str, stage: Option<Stage>, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.over.is_none() {
+            job.over = Some(stage.unwrap_or(Stage::Cancelled));
+            tracing::debug!(job = id, stage = ?job.over, "job over");
+        }
+        let id = job.id.clone();
+        self.clear_finishes_of(&id);
+        self.stop_attempts_of(&id, now);
+        self.restless = true;
+        self.drop_job_if_empty(&id);
+    }
+
+    /// Stops all that may exist of a job that is over.
+    fn stop_attempts_of(&mut self, id: &JobId, now: Instant) {
+        let mut never_sent = Vec::new();
+        for machine in self.machines.values_mut() {
+            for (key, attempt) in &mut machine.attempts {
+                if key.0.job != *id || attempt.ended() {
+                    continue;
+                }
+                attempt.want_stop(Duration::ZERO);
+                if attempt.phase == Phase::Launching && !attempt.in_flight && !attempt.unanswered {
+                    never_sent.push((machine.id.clone(), key.clone()));
+                }
+            }
+        }
+        for (machine, key) in never_sent {
+            self.remove_attempt(&machine, &key, now);
+        }
+    }
+
+    /// What an orphan on a machine was: its job is over.
+    pub fn orphan_read(&mut self, id: &str, record: Option<FinalRecord>) {
+        let Some(record) = record else {
+            // Neither unfinished nor over: no controller has ever accepted it.
+            // Its tasks stay stopped, and their machine stays closed.
+            tracing::error!(job = id, "a machine holds tasks of an unknown job");
+            return;
+        };
+        let spec = Arc::new(record.spec);
+        for machine in self.machines.values_mut() {
+            for ((task, _), attempt) in &mut machine.attempts {
+                if &*task.job == id && attempt.spec.is_none() {
+                    attempt.spec = Some(spec.clone());
+                }
+            }
+        }
+        self.restless = true;
+    }
+
+    /// Forgets a job that is over once no attempt of it may exist.
+    pub(super) fn drop_job_if_empty(&mut self, id: &str) {
+        if self
+            .jobs
+            .get(id)
+            .is_some_and(|job| job.over.is_some() && job.live.is_empty())
+        {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Asks for the final record once all tasks are done.
+    pub(super) fn finish_if_done(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.over.is_none() && job.all_done() && !job.finish_sent {
+            job.finish_sent = true;
+            self.out.push(Action::Finish {
+                job: job.id.clone(),
+                mark: job.mark,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/mod.rs
@@ -0,0 +1,265 @@
+//! The owner's state machine: a pure function of (state, event, now).
+//!
+//! Events come in through the methods of [`Shard`]; what has to be done
+//! outside comes out as [`Action`]s. Nothing here waits or talks.
+
+mod cluster;
+mod fleet;
+mod jobs;
+mod machines;
+mod placement;
+mod preemption;
+mod reports;
+mod writes;
+
+pub use cluster::{Loaded, LoadedMachine};
+pub use fleet::RentalOutcome;
+pub use jobs::Job;
+pub use machines::{Attempt, Machine, Phase};
+pub use placement::wall_ms;
+pub use reports::ReportOutcome;
+pub use writes::{Fact, ShardWrite};
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::protocol::cloud::{MachineType, Rental};
+use crate::protocol::users::Stage;
+use crate::protocol::workers::{Command, Report};
+use crate::protocol::{JobId, MachineId};
+use crate::settings::Settings;
+
+/// What the owner wants done outside. Each is answered by an event.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send `/commands`; answered by [`Shard::command_answered`].
+    Command {
+        machine: MachineId,
+        addr: String,
+        session: u64,
+        number: u64,
+        commands: Vec<Command>,
+    },
+    /// Write to the shard's keys; answered by [`Shard::shard_written`].
+    Write(ShardWrite),
+    /// Record that a job is done; answered by [`Shard::job_gone`].
+    Finish { job: JobId, mark: u64 },
+    /// Read what a job that is over was; answered by [`Shard::orphan_read`].
+    ReadFinal { job: JobId },
+    /// Rent machines; answered by [`Shard::rental_answered`].
+    Rent(Rental),
+    /// Give machines back; answered by [`Shard::deletion_answered`].
+    Delete(Vec<MachineId>),
+    /// A worker has seen a higher term: someone else may own the shard.
+    Fenced { seen: u64 },
+}
+
+/// How a batch of commands went.
+#[derive(Debug, Clone)]
+pub enum CommandOutcome {
+    /// 200: executed, with the report after it.
+    Executed(Report),
+    /// 409: not executed, with the report.
+    Refused(Report),
+    /// It surely never left.
+    NotSent,
+    /// It may have been executed, or may still be.
+    NoAnswer,
+}
+
+/// A team's amounts; 0 means none.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamPolicy {
+    pub cores: f64,
+    pub cores_max: f64,
+    pub accelerators: f64,
+    pub accelerators_max: f64,
+}
+
+/// What the shard's decisions depend on besides its state.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    pub label: String,
+    pub zones: Vec<String>,
+    pub teams: HashMap<String, TeamPolicy>,
+    /// Longest good wait for a start, by class.
+    pub wait_within: HashMap<String, Duration>,
+    pub report: Duration,
+    pub worker_lease: Duration,
+    pub list_lag: Duration,
+    pub txn_ops: usize,
+    pub value_bytes: usize,
+    pub snapshot: Duration,
+    pub staleness: Duration,
+    pub snapshot_writes_per_s: f64,
+    pub suspect: Duration,
+    pub abandon: Duration,
+    pub headroom: f64,
+    pub idle: Duration,
+    pub refused: Duration,
+}
+
+impl Policy {
+    /// The policy that the settings ask for.
+    pub fn new(settings: &Settings) -> Self {
+        let given = &settings.platform.settings;
+        let operator = &settings.operator;
+        Self {
+            label: settings.platform.label.clone(),
+            zones: given.zones.clone(),
+            teams: given
+                .teams
+                .iter()
+                .map(|team| {
+                    let policy = TeamPolicy {
+                        cores: team.cpus,
+                        cores_max: team.cpus_max,
+                        accelerators: team.gpus,
+                        accelerators_max: team.gpus_max,
+                    };
+                    (team.name.clone(), policy)
+                })
+                .collect(),
+            wait_within: given
+                .objectives
+                .iter()
+                .filter(|aim| aim.kind == "wait")
+                .filter_map(|aim| {
+                    let within = aim.within_s.filter(|s| (0.0..1e9).contains(s))?;
+                    Some((aim.class.clone()?, Duration::from_secs_f64(within)))
+                })
+                .collect(),
+            report: given.workers.report(),
+            worker_lease: given.workers.lease(),
+            list_lag: Duration::from_secs_f64(given.cloud.list_lag_s),
+            txn_ops: given.state.txn_ops,
+            value_bytes: (given.state.value_kb * 1024.0) as usize,
+            snapshot: operator.snapshot(),
+            staleness: operator.staleness(),
+            snapshot_writes_per_s: given.state.write_rps * operator.snapshot_write_share,
+            suspect: operator.suspect(),
+            abandon: operator.abandon(),
+            headroom: operator.headroom,
+            idle: operator.idle(),
+            refused: operator.refused(),
+        }
+    }
+
+    /// How long after our last answer left a worker's lease has surely ended:
+    /// its own clock may run slow, and ours fast.
+    pub fn lease_surely_over(&self) -> Duration {
+        self.worker_lease.mul_f64(1.002) + Duration::from_millis(300)
+    }
+}
+
+/// One shard as its owner sees it.
+pub struct Shard {
+    pub policy: Policy,
+    /// The number that fences our commands and writes.
+    pub term: u64,
+    acquired: Instant,
+    types: HashMap<String, Arc<MachineType>>,
+    jobs: BTreeMap<JobId, Job>,
+    machines: BTreeMap<MachineId, Machine>,
+    /// Machines that were deleted, and when.
+    gone: HashMap<MachineId, Instant>,
+    /// Machines of the roster that we loaded which may hold tasks that we
+    /// don't know of: neither synced under our term, nor proven empty.
+    unresolved: BTreeSet<MachineId>,
+    fleet: fleet::Fleet,
+    writes: writes::Writer,
+    next_take: u64,
+    next_command: u64,
+    /// Something changed that may allow or need new decisions.
+    restless: bool,
+    out: Vec<Action>,
+}
+
+impl Shard {
+    /// The actions decided since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Periodic work: leases, snapshots, fleet. Every fraction of a second.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire_leases(now);
+        self.probe_unsynced(now);
+        self.retry_commands(now);
+        self.manage_fleet(now);
+        self.restless = true;
+        self.settle(now);
+    }
+
+    /// Works out the difference between what is wanted and what is.
+    pub fn settle(&mut self, now: Instant) {
+        if std::mem::take(&mut self.restless) {
+            self.place(now);
+            self.flush_commands(now);
+        }
+        self.pump_writes(now);
+    }
+
+    /// New machine types (with the prices of the moment).
+    pub fn set_types(&mut self, types: &[MachineType]) {
+        self.types = types
+            .iter()
+            .map(|t| (t.name.clone(), Arc::new(t.clone())))
+            .collect();
+        self.restless = true;
+    }
+
+    /// A job's state for its user: stage, tasks done, tasks running.
+    pub fn view(&self, id: &str) -> Option<(Stage, u32, u32)> {
+        let job = self.jobs.get(id).filter(|job| job.over.is_none())?;
+        let running = job
+            .live
+            .iter()
+            .filter(|(index, machine)| {
+                self.machines
+                    .get(*machine)
+                    .and_then(|m| m.live_attempt(&job.id, **index))
+                    .is_some_and(|attempt| attempt.phase == Phase::Running)
+            })
+            .count() as u32;
+        let stage = if running > 0 {
+            Stage::Running
+        } else {
+            Stage::Pending
+        };
+        Some((stage, job.done.len(), running))
+    }
+
+    /// Machines heard within the suspect time, and all that should be heard.
+    pub fn hearing(&self, now: Instant) -> (usize, usize) {
+        let expected = self.machines.values().filter(|m| m.should_report());
+        let heard = expected
+            .clone()
+            .filter(|m| m.silence(now) < self.policy.suspect)
+            .count();
+        (heard, expected.count())
+    }
+
+    /// A few numbers for the log.
+    pub fn summary(&self) -> String {
+        let attempts: usize = self.machines.values().map(|m| m.attempts.len()).sum();
+        format!(
+            "jobs {} machines {} attempts {} unresolved {}",
+            self.jobs.len(),
+            self.machines.len(),
+            attempts,
+            self.unresolved.len()
+        )
+    }
+
+    /// The machines, for tests and the status page.
+    pub fn machines(&self) -> &BTreeMap<MachineId, Machine> {
+        &self.machines
+    }
+
+    /// The jobs, for tests and the status page.
+    pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
+        &self.jobs
+    }
+}
--- /dev/null
+++ b/src/coordination/shard/placement.rs
@@ -0,0 +1,368 @@
+//! Which waiting task goes where.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Instant;
+
+use super::machines::Amounts;
+use super::{Attempt, Job, Machine, Phase, Shard};
+use crate::protocol::users::{JobSpec, Priority};
+use crate::protocol::{JobId, MachineId, TaskId};
+
+/// Tasks of one job placed before its team's turn ends.
+const BLOCK: usize = 4;
+const SLACK: f64 = 1e-6;
+
+/// A machine that may get tasks, as a placement pass sees it.
+#[derive(Debug, Clone)]
+pub(super) struct Slot {
+    pub id: MachineId,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Amounts,
+}
+
+/// What the teams may be using, counting all that might exist.
+#[derive(Debug, Default, Clone)]
+pub(super) struct Usage {
+    teams: HashMap<String, Amounts>,
+    /// What nobody knows the team of: it counts against every limit.
+    unknown: Amounts,
+}
+
+impl Usage {
+    pub fn of(&self, team: &str) -> Amounts {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+
+    pub fn add(&mut self, spec: &JobSpec) {
+        self.teams.entry(spec.team.clone()).or_default().give(spec);
+    }
+}
+
+/// Whether a job may run on a machine of this type, zone and kind.
+pub(super) fn allowed(spec: &JobSpec, machine_type: &str, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec
+            .machine_types
+            .as_ref()
+            .is_none_or(|types| types.iter().any(|t| t == machine_type))
+        && spec.zone.as_ref().is_none_or(|only| only == zone)
+}
+
+impl Shard {
+    pub(super) fn usage(&self) -> Usage {
+        let mut usage = Usage::default();
+        for machine in self.machines.values() {
+            let full = self
+                .types
+                .get(&machine.machine_type)
+                .map(|kind| Amounts::of_type(kind))
+                .unwrap_or_default();
+            if self.unresolved.contains(&machine.id) {
+                usage.unknown.cores += full.cores;
+                usage.unknown.accelerators += full.accelerators;
+                continue;
+            }
+            for attempt in machine.attempts.values().filter(|a| !a.ended()) {
+                match &attempt.spec {
+                    Some(spec) => usage.add(spec),
+                    None => {
+                        usage.unknown.cores += full.cores;
+                        usage.unknown.accelerators += full.accelerators;
+                    }
+                }
+            }
+        }
+        usage
+    }
+
+    /// Whether one more task of a job stays within its team's limit.
+    pub(super) fn within_limit(&self, usage: &Usage, spec: &JobSpec) -> bool {
+        let Some(team) = self.policy.teams.get(&spec.team) else {
+            return false;
+        };
+        let used = usage.of(&spec.team);
+        let fits = |used: f64, unknown: f64, more: f64, most: f64| {
+            most <= 0.0 || more <= 0.0 || used + unknown + more <= most + SLACK
+        };
+        fits(used.cores, usage.unknown.cores, spec.cores, team.cores_max)
+            && fits(
+                used.accelerators,
+                usage.unknown.accelerators,
+                spec.accelerators,
+                team.accelerators_max,
+            )
+    }
+
+    /// Whether a team would still be within its guarantee with one more task.
+    pub(super) fn within_guarantee(&self, usage: &Usage, spec: &JobSpec) -> bool {
+        self.policy.teams.get(&spec.team).is_some_and(|team| {
+            let used = usage.of(&spec.team);
+            used.cores + spec.cores <= team.cores + SLACK
+                && used.accelerators + spec.accelerators <= team.accelerators + SLACK
+        })
+    }
+
+    /// A team's place in the turn: within its guarantee first, then by what it
+    /// uses for its share.
+    fn turn(&self, usage: &Usage, spec: &JobSpec) -> (bool, f64) {
+        let share = self
+            .policy
+            .teams
+            .get(&spec.team)
+            .map_or(1.0, |team| team.cores.max(team.accelerators).max(1.0));
+        let used = usage.of(&spec.team);
+        (
+            !self.within_guarantee(usage, spec),
+            (used.cores + used.accelerators) / share,
+        )
+    }
+
+    /// Whether a job's waiting tasks are surely nowhere.
+    pub(super) fn whereabouts_known(&self, job: &Job) -> bool {
+        // Jobs accepted after our term began were never an earlier owner's.
+        self.unresolved.is_empty() || job.mark > self.term
+    }
+
+    pub(super) fn open_slots(&self, now: Instant) -> Vec<Slot> {
+        self.machines
+            .values()
+            .filter(|m| m.open(now, self.policy.suspect))
+            .filter_map(|m| {
+                let kind = self.types.get(&m.machine_type)?;
+                Some(Slot {
+                    id: m.id.clone(),
+                    machine_type: m.machine_type.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: m.free(kind),
+                })
+            })
+            .collect()
+    }
+
+    /// Places what waits, by priority, then team by team in turn.
+    pub(super) fn place(&mut self, now: Instant) {
+        if self.writes.stale(now, self.policy.staleness) {
+            return;
+        }
+        let mut levels: BTreeMap<Reverse<Priority>, HashMap<String, Vec<JobId>>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.waiting() > 0
+                && job.not_before.is_none_or(|at| at <= now)
+                && self.whereabouts_known(job)
+            {
+                levels
+                    .entry(Reverse(job.spec.priority))
+                    .or_default()
+                    .entry(job.spec.team.clone())
+                    .or_default()
+                    .push(job.id.clone());
+            }
+        }
+        if levels.is_empty() {
+            return;
+        }
+        let mut usage = self.usage();
+        let mut slots = self.open_slots(now);
+        let mut stuck = Vec::new();
+        let wall = wall_ms();
+        for (_, teams) in levels {
+            let mut queues: HashMap<String, VecDeque<JobId>> = teams
+                .into_iter()
+                .map(|(team, mut ids)| {
+                    ids.sort_by_key(|id| self.queue_key(id, wall));
+                    (team, ids.into())
+                })
+                .collect();
+            while let Some(team) = self.next_team(&queues, &usage) {
+                let Some(queue) = queues.get_mut(&team) else {
+                    break;
+                };
+                let Some(id) = queue.front().cloned() else {
+                    queues.remove(&team);
+                    continue;
+                };
+                let placed = self.place_some(&id, &mut usage, &mut slots, now);
+                let left = self.jobs.get(&id).map_or(0, Job::waiting);
+                if placed == 0 || left == 0 {
+                    queue.pop_front();
+                    if left > 0 {
+                        stuck.push(id);
+                    }
+                }
+            }
+        }
+        self.preempt(&stuck, &usage, &slots, now);
+    }
+
+    /// Jobs that can still be in time go before those that are late already.
+    fn queue_key(&self, id: &JobId, wall: u64) -> (bool, u64, u64) {
+        match self.jobs.get(id) {
+            Some(job) => (job.due_ms() < wall, job.due_ms(), job.at_ms),
+            None => (true, u64::MAX, u64::MAX),
+        }
+    }
+
+    fn next_team(
+        &self,
+        queues: &HashMap<String, VecDeque<JobId>>,
+        usage: &Usage,
+    ) -> Option<String> {
+        queues
+            .iter()
+            .filter_map(|(team, queue)| {
+                let job = self.jobs.get(queue.front()?)?;
+                Some((self.turn(usage, &job.spec), team))
+            })
+            .min_by(|a, b| {
+                a.0.0
+                    .cmp(&b.0.0)
+                    .then(a.0.1.total_cmp(&b.0.1))
+                    .then(a.1.cmp(b.1))
+            })
+            .map(|(_, team)| team.clone())
+    }
+
+    /// Places up to a block of a job's tasks; returns how many.
+    fn place_some(
+        &mut self,
+        id: &JobId,
+        usage: &mut Usage,
+        slots: &mut [Slot],
+        now: Instant,
+    ) -> usize {
+        let mut placed = 0;
+        while placed < BLOCK {
+            let Some(job) = self.jobs.get(id) else {
+                break;
+            };
+            let spec = job.spec.clone();
+            if job.waiting() == 0 || !self.within_limit(usage, &spec) {
+                break;
+            }
+            let Some(at) = self.choose(job, slots) else {
+                break;
+            };
+            let machine = slots[at].id.clone();
+            let Some(index) = self.jobs.get_mut(id).and_then(Job::next_waiting) else {
+                break;
+            };
+            slots[at].free.take(&spec);
+            usage.add(&spec);
+            self.launch(id, index, &machine, now);
+            placed += 1;
+        }
+        placed
+    }
+
+    /// Our companion: a fitting machine that holds the image, else the
+    /// roomiest fitting one.
+    fn choose(&self, job: &Job, slots: &[Slot]) -> Option<usize> {
+        let spec = &job.spec;
+        let zones = self.live_zones(job);
+        let one_zone = if spec.one_zone && zones.is_empty() {
+            Some(self.best_zone(spec, slots)?)
+        } else if spec.one_zone {
+            zones.keys().next().cloned()
+        } else {
+            None
+        };
+        let per_zone = spec.tasks.div_ceil(2);
+        let avoid = job.failed_on.len() < slots.len();
+        slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| {
+                allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && slot.free.fits(spec) > 0
+                    && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
+                    && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
+                    && !(avoid && job.failed_on.contains(&slot.id))
+            })
+            .min_by(|(_, a), (_, b)| {
+                let image = |slot: &Slot| {
+                    let holds = self
+                        .machines
+                        .get(&slot.id)
+                        .is_some_and(|m| holds_image(m, &spec.image));
+                    !holds
+                };
+                let (lacks_a, lacks_b) = (image(a), image(b));
+                let room = if lacks_a {
+                    b.free.cores.total_cmp(&a.free.cores)
+                } else {
+                    a.free.cores.total_cmp(&b.free.cores)
+                };
+                lacks_a
+                    .cmp(&lacks_b)
+                    .then(b.spot.cmp(&a.spot))
+                    .then(room)
+                    .then(a.id.cmp(&b.id))
+            })
+            .map(|(at, _)| at)
+    }
+
+    /// How many tasks of a job may exist in each zone.
+    pub(super) fn live_zones(&self, job: &Job) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        if job.spec.one_zone || job.spec.scatter {
+            for machine in job.live.values().filter_map(|id| self.machines.get(id)) {
+                *zones.entry(machine.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        zones
+    }
+
+    /// The zone with room for most of a job's tasks.
+    fn best_zone(&self, spec: &JobSpec, slots: &[Slot]) -> Option<String> {
+        let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+        for slot in slots {
+            if allowed(spec, &slot.machine_type, &slot.zone, slot.spot) {
+                *room.entry(&slot.zone).or_default() += slot.free.fits(spec);
+            }
+        }
+        room.into_iter()
+            .filter(|(_, n)| *n > 0)
+            .max_by_key(|(_, n)| *n)
+            .map(|(zone, _)| zone.to_owned())
+    }
+
+    fn launch(&mut self, id: &JobId, index: u32, machine_id: &MachineId, now: Instant) {
+        let take = self.new_take();
+        let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.machines.get_mut(machine_id))
+        else {
+            return;
+        };
+        job.live.insert(index, machine_id.clone());
+        machine.idle_since = None;
+        let task = TaskId {
+            job: id.clone(),
+            index,
+        };
+        tracing::debug!(%task, take, machine = %machine_id, "launch");
+        machine.attempts.insert(
+            (task, take),
+            Attempt::new(Some(job.spec.clone()), Phase::Launching, now),
+        );
+        self.writes.progress_changed(now);
+    }
+}
+
+/// Whether a machine holds an image or is fetching it.
+fn holds_image(machine: &Machine, image: &str) -> bool {
+    machine.has_image(image)
+        || machine
+            .attempts
+            .values()
+            .any(|a| !a.ended() && a.spec.as_ref().is_some_and(|spec| spec.image == image))
+}
+
+/// Time of day in milliseconds.
+pub fn wall_ms() -> u64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/coordination/shard/reports.rs
@@ -0,0 +1,350 @@
+//! What workers report, and what they are answered.
+
+use std::time::{Duration, Instant};
+
+use super::machines::{clear_allowed, stop, stop_to_send};
+use super::{Action, Attempt, Machine, Phase, Shard};
+use crate::protocol::users::JobKind;
+use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
+use crate::protocol::{MachineId, TaskId};
+
+/// How many different jobs must fail on a machine before it is given up.
+const ERRORS_TO_CONDEMN: usize = 2;
+
+/// What to answer to a report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportOutcome {
+    /// 200 with these commands; the worker's lease is renewed.
+    Answer(Vec<Command>),
+    /// The machine is known to be gone, or a higher term is about.
+    Refuse,
+}
+
+impl Shard {
+    /// A worker's own report; the caller answers it at once.
+    pub fn report(&mut self, report: &Report, now: Instant) -> ReportOutcome {
+        if self.gone.contains_key(report.machine.as_str()) {
+            return ReportOutcome::Refuse;
+        }
+        if report.term > self.term {
+            self.out.push(Action::Fenced { seen: report.term });
+            return ReportOutcome::Refuse;
+        }
+        self.apply_report(report, now);
+        let Some(machine) = self.machines.get_mut(report.machine.as_str()) else {
+            return ReportOutcome::Refuse;
+        };
+        // Whatever the worker makes of this answer, its lease can't end later
+        // than it would if it took it.
+        machine.lease_over = machine
+            .lease_over
+            .max(now + self.policy.lease_surely_over());
+        let current = machine.session == Some(report.session) && machine.seq == report.seq;
+        let commands = if machine.synced && current {
+            answer_commands(machine)
+        } else {
+            Vec::new()
+        };
+        self.settle(now);
+        ReportOutcome::Answer(commands)
+    }
+
+    /// Takes in a report that came by itself or with a command's answer.
+    pub(super) fn apply_report(&mut self, report: &Report, now: Instant) {
+        if report.term > self.term {
+            self.out.push(Action::Fenced { seen: report.term });
+            return;
+        }
+        if self.gone.contains_key(report.machine.as_str()) {
+            return;
+        }
+        let machine = self.adopt(report, now);
+        let id = machine.id.clone();
+        if report.session <= machine.dead_sessions {
+            return;
+        }
+        if machine
+            .session
+            .is_some_and(|session| (report.session, report.seq) <= (session, machine.seq))
+        {
+            return;
+        }
+        machine.heard = Some(now);
+        machine.vanished = false;
+        let new_session = machine.session != Some(report.session);
+        let had_session = machine.session.is_some();
+        machine.session = Some(report.session);
+        machine.seq = report.seq;
+        if new_session && had_session {
+            // The worker killed and forgot all that its last session held.
+            machine.dead_sessions = machine.dead_sessions.max(report.session - 1);
+            tracing::info!(machine = %id, session = report.session, "worker began a new session");
+            self.empty_machine(&id, now);
+        }
+        self.take_notice(&id, report.notice_s, now);
+        if report.term < self.term {
+            // Its list may change yet by commands of an earlier owner.
+            self.probe(&id, report.session);
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return;
+        };
+        if !machine.synced {
+            machine.synced = true;
+            tracing::debug!(machine = %id, "machine synced");
+        }
+        self.take_tasks(&id, &report.tasks, now);
+        if self.unresolved.remove(&id) && self.unresolved.is_empty() {
+            tracing::info!(
+                term = self.term,
+                "every machine of the roster is accounted for"
+            );
+        }
+        self.admit(&id);
+        self.restless = true;
+    }
+
+    fn adopt(&mut self, report: &Report, now: Instant) -> &mut Machine {
+        let id: MachineId = report.machine.as_str().into();
+        let lease_over = now + self.policy.lease_surely_over();
+        let machine = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(id, now, lease_over));
+        if machine.heard.is_none() {
+            machine.idle_since = Some(now);
+        }
+        machine.addr.clone_from(&report.addr);
+        machine.machine_type.clone_from(&report.machine_type);
+        machine.zone.clone_from(&report.zone);
+        machine.spot = report.spot;
+        machine
+    }
+
+    fn take_notice(&mut self, id: &MachineId, notice_s: Option<f64>, now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(left) = notice_s.filter(|s| s.is_finite()) else {
+            return;
+        };
+        let left = Duration::from_secs_f64(left.clamp(0.0, 1e6));
+        if machine.notice.is_none() {
+            tracing::info!(machine = %id, ?left, "the cloud takes the machine away");
+        }
+        machine.notice = Some(now + left);
+        for attempt in machine.attempts.values_mut() {
+            let Some(spec) = attempt.spec.clone() else {
+                continue;
+            };
+            if spec.kind == JobKind::Standing {
+                attempt.want_stop(Duration::ZERO);
+            } else if spec.checkpoint_s > 0.0 {
+                if left.as_secs_f64() >= spec.save_s {
+                    // Saving takes its time: later would be too late.
+                    if left.as_secs_f64() < spec.save_s * 2.0 + 3.0 {
+                        attempt.want_stop(left);
+                    }
+                }
+            } else if Self::hopeless(attempt, left, now) {
+                attempt.want_stop(Duration::ZERO);
+            }
+        }
+    }
+
+    /// Compares a synced report's list with the books.
+    fn take_tasks(&mut self, id: &MachineId, tasks: &[TaskReport], now: Instant) {
+        let mut listed = Vec::with_capacity(tasks.len());
+        for line in tasks {
+            listed.push((line.task.clone(), line.attempt));
+            self.take_task(id, line, now);
+        }
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        // What was shown before and is not any more is gone for good. What was
+        // never shown may still land.
+        listed.sort();
+        let gone: Vec<(TaskId, u64)> = machine
+            .attempts
+            .iter()
+            .filter(|(key, attempt)| {
+                attempt.phase != Phase::Launching && listed.binary_search(key).is_err()
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in gone {
+            self.remove_attempt(id, &key, now);
+        }
+    }
+
+    fn take_task(&mut self, id: &MachineId, line: &TaskReport, now: Instant) {
+        let key = (line.task.clone(), line.attempt);
+        let known = self
+            .machines
+            .get(id)
+            .is_some_and(|m| m.attempts.contains_key(&key));
+        if !known {
+            self.adopt_attempt(id, &key, line.state != TaskState::Ended, now);
+        }
+        let phase = match line.state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Running => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Ended => Phase::Ended(line.ending.unwrap_or(Ending::Other)),
+        };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(attempt) = machine.attempts.get_mut(&key) else {
+            return;
+        };
+        if attempt.phase == phase {
+            return;
+        }
+        let had_ended = attempt.ended();
+        attempt.phase = phase;
+        attempt.since = now;
+        if phase == Phase::Running {
+            attempt.running_since.get_or_insert(now);
+        }
+        let started =
+            matches!(phase, Phase::Running | Phase::Saving) || phase == Phase::Ended(Ending::Done);
+        let image = attempt.spec.as_ref().map(|spec| spec.image.clone());
+        if let (true, Some(image)) = (started, image) {
+            machine.use_image(&image, IMAGES_REMEMBERED);
+        }
+        if let Phase::Ended(ending) = phase
+            && !had_ended
+        {
+            self.attempt_ended(id, &key, ending, now);
+        }
+    }
+
+    /// A task on a machine that an earlier owner started.
+    fn adopt_attempt(&mut self, id: &MachineId, key: &(TaskId, u64), live: bool, now: Instant) {
+        let task = &key.0;
+        let mut attempt = Attempt::new(None, Phase::Launching, now);
+        match self.jobs.get_mut(&task.job) {
+            Some(job) if task.index < job.spec.tasks => {
+                attempt.spec = Some(job.spec.clone());
+                let unwanted = job.over.is_some()
+                    || job.done.contains(task.index)
+                    || job.live.contains_key(&task.index);
+                if unwanted {
+                    attempt.want_stop(Duration::ZERO);
+                }
+                if live {
+                    job.live.entry(task.index).or_insert_with(|| id.clone());
+                }
+            }
+            _ if live => {
+                // Its job was over before we came.
+                attempt.want_stop(Duration::ZERO);
+                self.out.push(Action::ReadFinal {
+                    job: task.job.clone(),
+                });
+            }
+            _ => {}
+        }
+        if let Some(machine) = self.machines.get_mut(id) {
+            if live {
+                machine.idle_since = None;
+            }
+            machine.attempts.insert(key.clone(), attempt);
+        }
+    }
+
+    fn attempt_ended(&mut self, id: &MachineId, key: &(TaskId, u64), ending: Ending, now: Instant) {
+        let task = &key.0;
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if !machine.busy() {
+            machine.idle_since.get_or_insert(now);
+        }
+        let Some(attempt) = machine.attempts.get_mut(key) else {
+            return;
+        };
+        let asked = attempt.stop.is_some();
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            attempt.clearable = true;
+            return;
+        };
+        // A finish stays listed until it is on record; anything else is only
+        // of interest to this owner.
+        attempt.clearable = ending != Ending::Done || job.over.is_some();
+        match ending {
+            Ending::Done => {
+                job.done.insert(task.index);
+                job.failures = 0;
+                job.not_before = None;
+                self.writes.progress_changed(now);
+            }
+            Ending::Error if !asked => {
+                tracing::debug!(machine = %id, %task, "task failed");
+                job.failed(id, now);
+                // A job that fails everywhere says nothing about machines.
+                let suspicious = job.failed_on.len() > 2 && job.done.is_empty();
+                if !suspicious && !machine.errors.contains(&job.id) {
+                    machine.errors.push(job.id.clone());
+                    if machine.errors.len() >= ERRORS_TO_CONDEMN && !machine.condemned {
+                        machine.condemned = true;
+                        tracing::info!(machine = %id, "machine given up: tasks of several jobs failed on it");
+                    }
+                }
+            }
+            Ending::NoRoom | Ending::Busy | Ending::Unknown | Ending::Other => {
+                tracing::debug!(machine = %id, %task, ?ending, "start refused");
+                job.not_before = Some(now + Duration::from_millis(500));
+            }
+            Ending::Error | Ending::Stopped => {}
+        }
+        self.release(id, task);
+        self.finish_if_done(&task.job.clone());
+    }
+}
+
+/// Images that a machine is taken to cache; the worker decides what it keeps.
+const IMAGES_REMEMBERED: usize = 12;
+
+/// All that a worker should know, repeated with each answer.
+fn answer_commands(machine: &mut Machine) -> Vec<Command> {
+    let mut commands = Vec::new();
+    for ((task, take), attempt) in &machine.attempts {
+        if clear_allowed(attempt) {
+            commands.push(Command::Clear {
+                task: task.clone(),
+                attempt: *take,
+            });
+        }
+    }
+    for ((task, take), attempt) in &machine.attempts {
+        if attempt.in_flight {
+            continue;
+        }
+        if attempt.phase == Phase::Launching && attempt.unanswered {
+            // This pins a launch that may still be on its way: once the worker
+            // knows the attempt, a late copy has no effect.
+            commands.push(Command::Launch {
+                task: task.clone(),
+                attempt: *take,
+            });
+            if let Some(grace) = attempt.stop {
+                commands.push(stop(task, *take, grace));
+            }
+        } else if let Some(grace) = stop_to_send(attempt).or(attempt.stop)
+            && !attempt.ended()
+            && attempt.phase != Phase::Launching
+        {
+            let grace = if attempt.phase == Phase::Saving && !grace.is_zero() {
+                continue;
+            } else {
+                grace
+            };
+            commands.push(stop(task, *take, grace));
+        }
+    }
+    commands
+}
--- /dev/null
+++ b/src/coordination/shard/writes.rs
@@ -0,0 +1,336 @@
+//! What the shard writes: facts at once, snapshots within their share of the
+//! write budget. One transaction at a time, so that the shard's sequence
+//! number orders them all.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::{Action, Phase, Shard};
+use crate::protocol::cloud::Rental;
+use crate::protocol::state::Change;
+use crate::protocol::workers::Ending;
+use crate::protocol::{JobId, MachineId, TaskId};
+use crate::storage::keys;
+use crate::storage::records::{BookingRecord, RosterRecord, VERSION};
+use crate::storage::snapshot;
+
+/// What a change is for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fact {
+    /// The machine may get tasks from now on.
+    Admit(MachineId),
+    /// The machine may be deleted from now on.
+    Return(MachineId),
+    /// The machine is gone.
+    Forget(MachineId),
+    /// The rental may be requested from now on.
+    Book(Rental),
+    /// The rental is answered.
+    Unbook(String),
+    /// A chunk of the snapshot.
+    Chunk(String, Option<Value>),
+}
+
+/// One transaction on the shard's keys.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ShardWrite {
+    pub facts: Vec<Fact>,
+    pub changes: Vec<Change>,
+}
+
+/// A finish that the worker may forget once a snapshot holds it.
+type Finish = (MachineId, (TaskId, u64));
+
+/// The queue of writes.
+#[derive(Debug, Default)]
+pub struct Writer {
+    facts: VecDeque<(Fact, Change)>,
+    chunks: VecDeque<(Fact, Change)>,
+    in_flight: bool,
+    /// What the state service holds of the snapshot.
+    pub(super) written: BTreeMap<String, Value>,
+    /// Since when there are changes that no snapshot holds.
+    dirty_since: Option<Instant>,
+    /// The same for changes that the snapshot under way does not cover.
+    dirty_next: Option<Instant>,
+    /// The finishes that the snapshot being written covers.
+    covered: Vec<Finish>,
+    cycle: bool,
+    last_cycle: Option<Instant>,
+    /// Chunk writes allowed now.
+    tokens: f64,
+    refilled: Option<Instant>,
+}
+
+impl Writer {
+    pub fn progress_changed(&mut self, now: Instant) {
+        let since = if self.cycle {
+            &mut self.dirty_next
+        } else {
+            &mut self.dirty_since
+        };
+        since.get_or_insert(now);
+    }
+
+    /// Whether recent progress has been unrecorded for too long.
+    pub fn stale(&self, now: Instant, bound: Duration) -> bool {
+        self.dirty_since
+            .is_some_and(|since| now.saturating_duration_since(since) > bound)
+    }
+
+    pub(super) fn fact(&mut self, fact: Fact, change: Change) {
+        self.facts.push_back((fact, change));
+    }
+}
+
+impl Shard {
+    /// Records that a machine may hold tasks, before it gets any.
+    pub(super) fn admit(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.admitted || machine.admission_asked || machine.deleting {
+            return;
+        }
+        machine.admission_asked = true;
+        let record = roster_record(machine, false);
+        if let Ok(value) = serde_json::to_value(record) {
+            self.writes.fact(
+                Fact::Admit(id.clone()),
+                Change::put(keys::roster(id), value),
+            );
+        }
+    }
+
+    /// Records that a machine is to be deleted, before it is.
+    pub(super) fn record_return(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        if let Ok(value) = serde_json::to_value(roster_record(machine, true)) {
+            self.writes.fact(
+                Fact::Return(id.clone()),
+                Change::put(keys::roster(id), value),
+            );
+        }
+    }
+
+    /// Takes a machine that is gone off the roster.
+    pub(super) fn record_gone(&mut self, id: &MachineId) {
+        self.writes
+            .fact(Fact::Forget(id.clone()), Change::delete(keys::roster(id)));
+    }
+
+    pub(super) fn record_booking(&mut self, rental: &Rental) {
+        let record = BookingRecord {
+            v: VERSION,
+            rental: rental.clone(),
+        };
+        if let Ok(value) = serde_json::to_value(record) {
+            self.writes.fact(
+                Fact::Book(rental.clone()),
+                Change::put(keys::booking(&rental.request), value),
+            );
+        }
+    }
+
+    pub(super) fn record_answer(&mut self, request: &str) {
+        self.writes.fact(
+            Fact::Unbook(request.to_owned()),
+            Change::delete(keys::booking(request)),
+        );
+    }
+
+    /// Starts the next write if none is under way.
+    pub(super) fn pump_writes(&mut self, now: Instant) {
+        self.refill(now);
+        if self.writes.in_flight {
+            return;
+        }
+        if !self.writes.cycle {
+            self.begin_cycle(now);
+        }
+        // One change of every transaction is the sequence number's.
+        let room = self.policy.txn_ops - 1;
+        let mut write = ShardWrite {
+            facts: Vec::new(),
+            changes: Vec::new(),
+        };
+        let mut bytes = 0;
+        while write.changes.len() < room {
+            let from_facts = !self.writes.facts.is_empty();
+            let queue = if from_facts {
+                &mut self.writes.facts
+            } else if self.writes.tokens >= 1.0 {
+                &mut self.writes.chunks
+            } else {
+                break;
+            };
+            let Some((_, change)) = queue.front() else {
+                break;
+            };
+            let size = change_size(change);
+            if bytes + size > MAX_TXN_BYTES && !write.changes.is_empty() {
+                break;
+            }
+            bytes += size;
+            if let Some((fact, change)) = queue.pop_front() {
+                if !from_facts {
+                    self.writes.tokens -= 1.0;
+                }
+                write.facts.push(fact);
+                write.changes.push(change);
+            }
+        }
+        if write.changes.is_empty() {
+            if self.writes.cycle && self.writes.chunks.is_empty() {
+                self.end_cycle();
+            }
+            return;
+        }
+        self.writes.in_flight = true;
+        self.out.push(Action::Write(write));
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let rate = self.policy.snapshot_writes_per_s;
+        if let Some(last) = self.writes.refilled {
+            let passed = now.saturating_duration_since(last).as_secs_f64();
+            self.writes.tokens = (self.writes.tokens + passed * rate).min(rate.max(2.0));
+        } else {
+            self.writes.tokens = rate;
+        }
+        self.writes.refilled = Some(now);
+    }
+
+    /// Takes a snapshot if one is due, and queues the chunks that changed.
+    fn begin_cycle(&mut self, now: Instant) {
+        let due = match self.writes.last_cycle {
+            Some(last) => now.saturating_duration_since(last) >= self.policy.snapshot,
+            None => true,
+        };
+        if !due {
+            return;
+        }
+        self.writes.last_cycle = Some(now);
+        let rows: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|job| job.over.is_none())
+            .map(|job| {
+                let placed = job
+                    .live
+                    .iter()
+                    .map(|(n, machine)| (*n, machine.to_string()))
+                    .collect::<BTreeMap<_, _>>()
+                    .into_iter()
+                    .collect::<Vec<_>>();
+                (&*job.id, &job.done, placed)
+            })
+            .collect();
+        let chunks = snapshot::encode(rows.into_iter(), self.policy.value_bytes);
+        for (key, value) in &chunks {
+            if self.writes.written.get(key) != Some(value) {
+                self.writes.chunks.push_back((
+                    Fact::Chunk(key.clone(), Some(value.clone())),
+                    Change::put(key.clone(), value.clone()),
+                ));
+            }
+        }
+        for key in self.writes.written.keys() {
+            if !chunks.contains_key(key) {
+                self.writes
+                    .chunks
+                    .push_back((Fact::Chunk(key.clone(), None), Change::delete(key.clone())));
+            }
+        }
+        self.writes.covered = self.unrecorded_finishes();
+        self.writes.cycle = true;
+    }
+
+    fn unrecorded_finishes(&self) -> Vec<Finish> {
+        let mut finishes = Vec::new();
+        for machine in self.machines.values() {
+            for (key, attempt) in &machine.attempts {
+                if attempt.phase == Phase::Ended(Ending::Done) && !attempt.clearable {
+                    finishes.push((machine.id.clone(), key.clone()));
+                }
+            }
+        }
+        finishes
+    }
+
+    /// The whole snapshot is written: workers may forget what it holds.
+    fn end_cycle(&mut self) {
+        self.writes.cycle = false;
+        self.writes.dirty_since = self.writes.dirty_next.take();
+        for (machine, key) in std::mem::take(&mut self.writes.covered) {
+            if let Some(attempt) = self
+                .machines
+                .get_mut(&machine)
+                .and_then(|m| m.attempts.get_mut(&key))
+            {
+                attempt.clearable = true;
+            }
+        }
+    }
+
+    /// The transaction under way was applied.
+    pub fn shard_written(&mut self, write: &ShardWrite, now: Instant) {
+        self.writes.in_flight = false;
+        for fact in &write.facts {
+            match fact {
+                Fact::Admit(id) => {
+                    if let Some(machine) = self.machines.get_mut(id) {
+                        machine.admitted = true;
+                    }
+                }
+                Fact::Return(id) => self.out.push(Action::Delete(vec![id.clone()])),
+                Fact::Book(rental) => self.out.push(Action::Rent(rental.clone())),
+                Fact::Chunk(key, Some(value)) => {
+                    self.writes.written.insert(key.clone(), value.clone());
+                }
+                Fact::Chunk(key, None) => {
+                    self.writes.written.remove(key);
+                }
+                Fact::Forget(_) | Fact::Unbook(_) => {}
+            }
+        }
+        self.restless = true;
+        self.settle(now);
+    }
+
+    /// Finishes of a job whose final record is written need no snapshot.
+    pub(super) fn clear_finishes_of(&mut self, job: &JobId) {
+        for machine in self.machines.values_mut() {
+            for ((task, _), attempt) in &mut machine.attempts {
+                if task.job == *job && attempt.ended() {
+                    attempt.clearable = true;
+                }
+            }
+        }
+    }
+}
+
+/// Room for changes in one transaction, whose limit is 64 KiB in all.
+const MAX_TXN_BYTES: usize = 48 * 1024;
+
+fn change_size(change: &Change) -> usize {
+    match change {
+        Change::Put { key, value, .. } => key.len() + value.to_string().len() + 32,
+        Change::Delete { key } => key.len() + 32,
+    }
+}
+
+fn roster_record(machine: &super::Machine, returning: bool) -> RosterRecord {
+    RosterRecord {
+        v: VERSION,
+        addr: machine.addr.clone(),
+        machine_type: machine.machine_type.clone(),
+        zone: machine.zone.clone(),
+        spot: machine.spot,
+        returning,
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! valegap: a cluster scheduler in which each shard of machines is run by the
+//! one controller that holds its lease.
+//!
+//! Layers, from the wire inwards: [`transport`] moves bytes, [`protocol`]
+//! gives them types, [`storage`] keeps hard facts in the state service and
+//! [`coordination`] decides.
+
+pub mod cli;
+pub mod clock;
+pub mod coordination;
+pub mod protocol;
+pub mod settings;
+pub mod storage;
+pub mod telemetry;
+pub mod transport;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,5 @@
-fn main(){}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    valegap::cli::main()
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,44 @@
+//! The published interfaces: types, parsing and validation.
+//!
+//! The wire's own field names appear only in this layer, as serde renames.
+
+pub mod cloud;
+pub mod peers;
+pub mod state;
+pub mod users;
+pub mod workers;
+
+use std::fmt;
+use std::sync::Arc;
+
+/// A job's id as its user chose it.
+pub type JobId = Arc<str>;
+/// A machine's name as the cloud gave it.
+pub type MachineId = Arc<str>;
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads `job/index`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.rsplit_once('/')?;
+        if job.is_empty() || index.is_empty() || !index.bytes().all(|b| b.is_ascii_digit()) {
+            return None;
+        }
+        Some(Self {
+            job: job.into(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,95 @@
+//! What controllers say to one another, in `rkyv` frames.
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// A request from one controller to another.
+#[derive(Debug, Clone, Archive, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// How are you, and whom do you hear? Sent about once a second.
+    Pulse(Pulse),
+    /// A user's request that the sender can't serve itself.
+    Forward {
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+}
+
+/// What a controller knows of itself.
+#[derive(Debug, Clone, Default, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Pulse {
+    pub label: String,
+    pub zone: String,
+    /// Whether the state service answered it lately.
+    pub state_served: bool,
+    /// Machines whose workers tried to report to it lately.
+    pub workers_heard: u32,
+    /// Seconds since it started.
+    pub up_s: u64,
+    /// The term of the shard that it runs, if any.
+    pub term: Option<u64>,
+    /// The zone that holds most of the machines, as the owner last said.
+    pub main_zone: Option<String>,
+}
+
+/// The answer to a [`PeerRequest`].
+#[derive(Debug, Clone, Archive, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    Pulse(Pulse),
+    /// The final answer to a forwarded request.
+    Answer {
+        status: u16,
+        body: Vec<u8>,
+    },
+    /// The frame could not be read.
+    Unreadable,
+}
+
+/// Encodes a frame.
+pub fn encode_request(request: &PeerRequest) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(request)
+        .map(|bytes| bytes.to_vec())
+        .unwrap_or_default()
+}
+
+/// Decodes and checks a request.
+pub fn decode_request(bytes: &[u8]) -> Option<PeerRequest> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<PeerRequest, rkyv::rancor::Error>(&aligned).ok()
+}
+
+/// Encodes an answer.
+pub fn encode_answer(answer: &PeerAnswer) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(answer)
+        .map(|bytes| bytes.to_vec())
+        .unwrap_or_default()
+}
+
+/// Decodes and checks an answer.
+pub fn decode_answer(bytes: &[u8]) -> Option<PeerAnswer> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    rkyv::from_bytes::<PeerAnswer, rkyv::rancor::Error>(&aligned).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_survive_a_round_trip_and_rubbish_is_refused() {
+        let request = PeerRequest::Forward {
+            method: "GET".into(),
+            path: "/v1/jobs/run-1".into(),
+            body: vec![1, 2, 3],
+        };
+        let bytes = encode_request(&request);
+        assert!(matches!(
+            decode_request(&bytes),
+            Some(PeerRequest::Forward { path, .. }) if path == "/v1/jobs/run-1"
+        ));
+        assert!(decode_request(b"rubbish").is_none());
+        assert!(decode_answer(&[]).is_none());
+    }
+}
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,160 @@
+//! The operators' own settings, an S-expression with every field optional.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::SettingsError;
+
+/// Defaults and limits are described in `deploy/operator.lisp`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Operator {
+    /// Time to live of a controller's hold in the state service.
+    pub lease_s: f64,
+    /// How often the hold is renewed.
+    pub renew_s: f64,
+    /// How long before the hold's earliest end an owner stops acting.
+    pub lease_margin_s: f64,
+    /// How often a changed shard is snapshotted.
+    pub snapshot_s: f64,
+    /// Age of unsnapshotted changes past which nothing is started.
+    pub staleness_s: f64,
+    /// Share of the state service's writes that snapshots may use.
+    pub snapshot_write_share: f64,
+    /// Silence after which a machine gets no new tasks.
+    pub suspect_s: f64,
+    /// Silence after which a machine is given back, so that its tasks can move.
+    pub abandon_s: f64,
+    /// Capacity held ready, as a multiple of what runs and waits.
+    pub headroom: f64,
+    /// How long a machine may stay idle before it is given back.
+    pub idle_s: f64,
+    /// How long a refused kind of machine is not asked for again.
+    pub refused_s: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self {
+            lease_s: 6.0,
+            renew_s: 1.0,
+            lease_margin_s: 0.5,
+            snapshot_s: 3.0,
+            staleness_s: 15.0,
+            snapshot_write_share: 0.5,
+            suspect_s: 8.0,
+            abandon_s: 15.0,
+            headroom: 0.1,
+            idle_s: 20.0,
+            refused_s: 15.0,
+        }
+    }
+}
+
+impl Operator {
+    /// Reads and checks the file's text; `file` is for messages only.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let operator: Self =
+            serde_lexpr::from_str(text).map_err(|error| SettingsError::Syntax {
+                file: file.to_owned(),
+                why: match error.location() {
+                    Some(at) => format!("line {}, column {}: {error}", at.line(), at.column()),
+                    None => error.to_string(),
+                },
+            })?;
+        operator.check(file)?;
+        Ok(operator)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let ranges = [
+            ("lease-s", self.lease_s, 1.0, 60.0),
+            ("renew-s", self.renew_s, 0.1, self.lease_s / 3.0),
+            (
+                "lease-margin-s",
+                self.lease_margin_s,
+                0.05,
+                self.lease_s / 3.0,
+            ),
+            ("snapshot-s", self.snapshot_s, 0.2, 60.0),
+            ("staleness-s", self.staleness_s, self.snapshot_s, 600.0),
+            ("snapshot-write-share", self.snapshot_write_share, 0.05, 0.9),
+            ("suspect-s", self.suspect_s, 1.0, 600.0),
+            ("abandon-s", self.abandon_s, self.suspect_s, 3600.0),
+            ("headroom", self.headroom, 0.0, 10.0),
+            ("idle-s", self.idle_s, 0.0, 86_400.0),
+            ("refused-s", self.refused_s, 1.0, 3600.0),
+        ];
+        for (field, value, least, most) in ranges {
+            if !(least..=most).contains(&value) {
+                return Err(SettingsError::Field {
+                    file: file.to_owned(),
+                    field: field.to_owned(),
+                    why: format!("must be {least} to {most}, not {value}"),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    pub fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.lease_s)
+    }
+
+    pub fn renew(&self) -> Duration {
+        Duration::from_secs_f64(self.renew_s)
+    }
+
+    pub fn snapshot(&self) -> Duration {
+        Duration::from_secs_f64(self.snapshot_s)
+    }
+
+    pub fn staleness(&self) -> Duration {
+        Duration::from_secs_f64(self.staleness_s)
+    }
+
+    pub fn suspect(&self) -> Duration {
+        Duration::from_secs_f64(self.suspect_s)
+    }
+
+    pub fn abandon(&self) -> Duration {
+        Duration::from_secs_f64(self.abandon_s)
+    }
+
+    pub fn idle(&self) -> Duration {
+        Duration::from_secs_f64(self.idle_s)
+    }
+
+    pub fn refused(&self) -> Duration {
+        Duration::from_secs_f64(self.refused_s)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_example_file_states_the_defaults() {
+        let text = include_str!("../../deploy/operator.lisp");
+        let parsed = Operator::parse("operator.lisp", text).expect("example parses");
+        assert_eq!(parsed, Operator::default());
+    }
+
+    #[test]
+    fn mistakes_are_located() {
+        let unknown = Operator::parse("o", "((lease-s . 5.0)\n (leese-s . 5.0))")
+            .expect_err("unknown key")
+            .to_string();
+        assert!(unknown.contains("leese-s"), "{unknown}");
+        let broken = Operator::parse("o", "((lease-s . 5.0)\n (")
+            .expect_err("broken")
+            .to_string();
+        assert!(broken.contains("line 2"), "{broken}");
+        let range = Operator::parse("o", "((lease-s . 0.5))")
+            .expect_err("range")
+            .to_string();
+        assert!(range.contains("lease-s"), "{range}");
+    }
+}
--- /dev/null
+++ b/src/settings/platform.rs
@@ -0,0 +1,212 @@
+//! The settings file (JSON) that the platform hands over.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::SettingsError;
+
+/// Another controller.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Peer {
+    pub label: String,
+    pub area: String,
+    pub address: SocketAddr,
+}
+
+/// Where the outside services are.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// One of the aims at start and at finish.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+/// How workers behave.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+impl Workers {
+    pub fn report(&self) -> Duration {
+        Duration::from_secs_f64(self.report_s)
+    }
+
+    pub fn lease(&self) -> Duration {
+        Duration::from_secs_f64(self.lease_s)
+    }
+
+    pub fn cancel(&self) -> Duration {
+        Duration::from_secs_f64(self.cancel_s)
+    }
+}
+
+/// The state service's limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// The cloud's limits.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// What this machine gives the process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Resources {
+    pub cpu: f64,
+    pub ram_mb: f64,
+    pub max_connections: usize,
+}
+
+/// The part named `settings`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Parameters {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub resources: Resources,
+    #[serde(default)]
+    pub skew_ms: f64,
+}
+
+/// The whole file.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Platform {
+    pub label: String,
+    pub area: String,
+    pub front: SocketAddr,
+    pub internal_addr: SocketAddr,
+    pub others: Vec<Peer>,
+    pub services: Services,
+    pub settings: Parameters,
+}
+
+impl Platform {
+    /// Reads and checks the file's text; `file` is for messages only.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let platform: Self = serde_json::from_str(text).map_err(|error| SettingsError::Syntax {
+            file: file.to_owned(),
+            why: error.to_string(),
+        })?;
+        platform.check(file)?;
+        Ok(platform)
+    }
+
+    fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let fail = |field: &str, why: &str| {
+            Err(SettingsError::Field {
+                file: file.to_owned(),
+                field: field.to_owned(),
+                why: why.to_owned(),
+            })
+        };
+        if self.label.is_empty() {
+            return fail("label", "must not be empty");
+        }
+        if self.others.iter().any(|peer| peer.label == self.label) {
+            return fail("others", "names this node itself");
+        }
+        let s = &self.settings;
+        if s.teams.is_empty() {
+            return fail("settings.teams", "must not be empty");
+        }
+        for (field, value) in [
+            ("settings.workers.report_s", s.workers.report_s),
+            ("settings.workers.lease_s", s.workers.lease_s),
+            ("settings.workers.cancel_s", s.workers.cancel_s),
+            ("settings.state.rps", s.state.rps),
+            ("settings.state.write_rps", s.state.write_rps),
+            ("settings.state.value_kb", s.state.value_kb),
+            ("settings.cloud.rps", s.cloud.rps),
+        ] {
+            if !(value.is_finite() && value > 0.0 && value < 1e9) {
+                return fail(field, "must be a number above 0");
+            }
+        }
+        if s.workers.lease_s <= s.workers.report_s {
+            return fail("settings.workers.lease_s", "must be above report_s");
+        }
+        if s.state.txn_ops < 3 {
+            return fail("settings.state.txn_ops", "must be at least 3");
+        }
+        if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
+            return fail("settings.cloud.list_lag_s", "must be a number of 0 or more");
+        }
+        for team in &s.teams {
+            for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
+                if !(value.is_finite() && value >= 0.0) {
+                    return fail("settings.teams", "amounts must be numbers of 0 or more");
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub(crate) const EXAMPLE: &str = r#"{"label":"n0","area":"north","front":"127.0.0.1:0",
+        "internal_addr":"127.0.0.1:0","others":[{"label":"n1","area":"south","address":"127.0.0.1:2"}],
+        "services":{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"},"later":true,
+        "settings":{"zones":["north","south"],
+          "teams":[{"name":"red","cpus":8,"cpus_max":16,"gpus":0,"gpus_max":0},
+                   {"name":"blue","cpus":0,"cpus_max":0,"gpus":0,"gpus_max":0}],
+          "objectives":[{"kind":"wait","class":"web","within_s":1.0,"share":0.9}],
+          "workers":{"report_s":3.0,"lease_s":27.0,"cancel_s":52.0},
+          "state":{"rps":80,"write_rps":25,"value_kb":8,"txn_ops":8},
+          "cloud":{"rps":5,"list_lag_s":3},
+          "resources":{"cpu":0.2,"ram_mb":100,"max_connections":1000},"skew_ms":25}}"#;
+
+    #[test]
+    fn unknown_fields_are_ignored_and_bad_values_name_their_field() {
+        assert!(Platform::parse("f", EXAMPLE).is_ok());
+        let bad = EXAMPLE.replace("\"lease_s\":27.0", "\"lease_s\":0");
+        let error = Platform::parse("f", &bad).expect_err("zero lease");
+        assert!(error.to_string().contains("settings.workers.lease_s"));
+        let missing = EXAMPLE.replace("\"report_s\":3.0,", "");
+        let error = Platform::parse("f", &missing).expect_err("missing");
+        assert!(error.to_string().contains("report_s"));
+    }
+}
--- /dev/null
+++ b/src/storage/client.rs
@@ -0,0 +1,252 @@
+//! The state service's client.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use rand::Rng;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use thiserror::Error;
+
+use crate::protocol::state::{Committed, HoldGranted, HoldRequest, Item, NewsPage, Page, Txn};
+use crate::transport::client::{Answer, CallError, HttpClient};
+
+/// Why the state service didn't do what was asked.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StateError {
+    /// It said 503 or 429, or was never reached: nothing was done.
+    #[error("refused ({0})")]
+    Refused(&'static str),
+    /// It may have done it, or may still do it.
+    #[error("no answer")]
+    NoAnswer,
+    /// The hold has ended.
+    #[error("the hold has ended")]
+    HoldEnded,
+    /// The watch's starting point is too old.
+    #[error("the watch is too old")]
+    TooOld,
+    /// An answer outside its protocol.
+    #[error("unexpected answer: {0}")]
+    Unexpected(String),
+}
+
+/// What became of a transaction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TxnOutcome {
+    Committed { revision: u64 },
+    Conflict,
+}
+
+/// How the service has answered lately.
+#[derive(Debug, Clone, Copy, Default)]
+struct Health {
+    served: Option<Instant>,
+    failed: Option<Instant>,
+}
+
+/// The client. Renewals and watches have connections of their own.
+pub struct StateClient {
+    addr: SocketAddr,
+    facts: HttpClient,
+    renewals: HttpClient,
+    watches: HttpClient,
+    health: Mutex<Health>,
+}
+
+impl StateClient {
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            facts: HttpClient::new(),
+            renewals: HttpClient::new(),
+            watches: HttpClient::new(),
+            health: Mutex::new(Health::default()),
+        }
+    }
+
+    /// When it last served this node, and when it last failed to.
+    pub fn health(&self) -> (Option<Instant>, Option<Instant>) {
+        let health = *self.health.lock().unwrap_or_else(|e| e.into_inner());
+        (health.served, health.failed)
+    }
+
+    fn note(&self, result: &Result<Answer, CallError>) {
+        let mut health = self.health.lock().unwrap_or_else(|e| e.into_inner());
+        let served = match result {
+            Ok(answer) => answer.status != StatusCode::SERVICE_UNAVAILABLE,
+            Err(_) => false,
+        };
+        let now = Instant::now();
+        if served {
+            health.served = Some(now);
+        } else {
+            health.failed = Some(now);
+        }
+    }
+
+    async fn call(
+        &self,
+        client: &HttpClient,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Duration,
+    ) -> Result<Answer, StateError> {
+        let result = client.call(method, self.addr, path, body, deadline).await;
+        self.note(&result);
+        match result {
+            Ok(answer) => match answer.status {
+                StatusCode::SERVICE_UNAVAILABLE => Err(StateError::Refused("503")),
+                StatusCode::TOO_MANY_REQUESTS => Err(StateError::Refused("429")),
+                _ => Ok(answer),
+            },
+            Err(CallError::NotSent) => Err(StateError::Refused("no connection")),
+            Err(CallError::NoAnswer) => Err(StateError::NoAnswer),
+        }
+    }
+
+    /// Reads one key.
+    pub async fn get(&self, key: &str, deadline: Duration) -> Result<Option<Item>, StateError> {
+        let path = format!("/store/{key}");
+        let answer = self
+            .call(&self.facts, Method::GET, &path, Vec::new(), deadline)
+            .await?;
+        match answer.status {
+            StatusCode::OK => parse(&answer).map(Some),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(unexpected(&answer)),
+        }
+    }
+
+    /// Reads all keys with a prefix, with a revision no later than any of the
+    /// pages: a watch from there misses nothing.
+    pub async fn list(
+        &self,
+        prefix: &str,
+        deadline: Duration,
+    ) -> Result<(Vec<Item>, u64), StateError> {
+        let mut items = Vec::new();
+        let mut revision = None;
+        let mut after = String::new();
+        loop {
+            let path = format!("/store?Prefix={prefix}&After={after}&Most=500");
+            let answer = self
+                .call(&self.facts, Method::GET, &path, Vec::new(), deadline)
+                .await?;
+            if answer.status != StatusCode::OK {
+                return Err(unexpected(&answer));
+            }
+            let page: Page = parse(&answer)?;
+            let first = *revision.get_or_insert(page.revision);
+            let last = page.items.last().map(|item| item.key.clone());
+            items.extend(page.items);
+            match last {
+                Some(last) if page.more => after = last,
+                _ => return Ok((items, first)),
+            }
+        }
+    }
+
+    /// Runs one transaction.
+    pub async fn txn(&self, txn: &Txn, deadline: Duration) -> Result<TxnOutcome, StateError> {
+        let body = serde_json::to_vec(txn).map_err(|e| StateError::Unexpected(e.to_string()))?;
+        let answer = self
+            .call(&self.facts, Method::POST, "/txn", body, deadline)
+            .await?;
+        match answer.status {
+            StatusCode::OK => {
+                let done: Committed = parse(&answer)?;
+                Ok(TxnOutcome::Committed {
+                    revision: done.revision,
+                })
+            }
+            StatusCode::CONFLICT => Ok(TxnOutcome::Conflict),
+            StatusCode::BAD_REQUEST if answer.body.windows(13).any(|w| w == b"no such lease") => {
+                Err(StateError::HoldEnded)
+            }
+            _ => Err(unexpected(&answer)),
+        }
+    }
+
+    /// Asks for a hold.
+    pub async fn hold(&self, ttl: Duration, deadline: Duration) -> Result<u64, StateError> {
+        let request = HoldRequest {
+            ttl_ms: ttl.as_millis() as u64,
+        };
+        let body =
+            serde_json::to_vec(&request).map_err(|e| StateError::Unexpected(e.to_string()))?;
+        let answer = self
+            .call(&self.renewals, Method::POST, "/holds", body, deadline)
+            .await?;
+        if answer.status != StatusCode::OK {
+            return Err(unexpected(&answer));
+        }
+        parse::<HoldGranted>(&answer).map(|granted| granted.hold)
+    }
+
+    /// Renews a hold.
+    pub async fn renew(&self, hold: u64, deadline: Duration) -> Result<(), StateError> {
+        let path = format!("/holds/{hold}/renew");
+        let answer = self
+            .call(&self.renewals, Method::POST, &path, Vec::new(), deadline)
+            .await?;
+        match answer.status {
+            StatusCode::OK => Ok(()),
+            StatusCode::NOT_FOUND => Err(StateError::HoldEnded),
+            _ => Err(unexpected(&answer)),
+        }
+    }
+
+    /// Ends a hold at once.
+    pub async fn release(&self, hold: u64, deadline: Duration) -> Result<(), StateError> {
+        let path = format!("/holds/{hold}");
+        let answer = self
+            .call(&self.renewals, Method::DELETE, &path, Vec::new(), deadline)
+            .await?;
+        if answer.status.is_success() || answer.status == StatusCode::NOT_FOUND {
+            Ok(())
+        } else {
+            Err(unexpected(&answer))
+        }
+    }
+
+    /// Waits for changes of keys with a prefix.
+    pub async fn follow(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<NewsPage, StateError> {
+        let path = format!(
+            "/follow?Prefix={prefix}&After={after}&HoldMs={}",
+            wait.as_millis()
+        );
+        let deadline = wait + Duration::from_millis(1500);
+        let answer = self
+            .call(&self.watches, Method::GET, &path, Vec::new(), deadline)
+            .await?;
+        match answer.status {
+            StatusCode::OK => parse(&answer),
+            StatusCode::GONE => Err(StateError::TooOld),
+            _ => Err(unexpected(&answer)),
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, StateError> {
+    serde_json::from_slice(&answer.body).map_err(|e| StateError::Unexpected(e.to_string()))
+}
+
+fn unexpected(answer: &Answer) -> StateError {
+    let text: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    StateError::Unexpected(format!("{} {text}", answer.status))
+}
+
+/// A pause before another try, with jitter.
+pub fn backoff(attempt: u32) -> Duration {
+    let base = 50_u64 << attempt.min(5);
+    Duration::from_millis(rand::rng().random_range(base / 2..=base))
+}
--- /dev/null
+++ b/src/storage/keys.rs
@@ -0,0 +1,61 @@
+//! The layout of the state service's keys.
+
+use super::records::SHARD;
+
+/// Prefix of the jobs that are neither done nor cancelled.
+pub const JOBS: &str = "j/";
+
+/// An unfinished job.
+pub fn job(id: &str) -> String {
+    format!("j/{id}")
+}
+
+/// A finished or cancelled job.
+pub fn final_job(id: &str) -> String {
+    format!("f/{id}")
+}
+
+/// Prefix of what says who runs a shard.
+pub fn owner_prefix() -> String {
+    format!("o/{SHARD}/")
+}
+
+/// The shard's ownership record, attached to its owner's hold.
+pub fn owner() -> String {
+    format!("o/{SHARD}/owner")
+}
+
+/// The shard's sequence number.
+pub fn sequence() -> String {
+    format!("s/{SHARD}/seq")
+}
+
+/// Prefix of the shard's snapshot.
+pub fn snapshot_prefix() -> String {
+    format!("s/{SHARD}/snap/")
+}
+
+/// One chunk of the shard's snapshot.
+pub fn chunk(bucket: usize, part: usize) -> String {
+    format!("s/{SHARD}/snap/{bucket:02}/{part:03}")
+}
+
+/// Prefix of the machines that may hold tasks.
+pub fn roster_prefix() -> String {
+    format!("m/{SHARD}/")
+}
+
+/// A machine that may hold tasks.
+pub fn roster(machine: &str) -> String {
+    format!("m/{SHARD}/{machine}")
+}
+
+/// Prefix of the rentals that are not yet answered.
+pub fn booking_prefix() -> String {
+    format!("b/{SHARD}/")
+}
+
+/// A rental that is not yet answered.
+pub fn booking(request: &str) -> String {
+    format!("b/{SHARD}/{request}")
+}
--- /dev/null
+++ b/src/storage/records.rs
@@ -0,0 +1,69 @@
+//! What the state service's values hold. `v` is a record's version.
+
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::cloud::Rental;
+use crate::protocol::users::{JobSpec, Stage};
+
+/// The only shard so far: keys and interfaces carry it, one owner runs it.
+pub const SHARD: u32 = 0;
+
+/// Version of the record formats that this program writes.
+pub const VERSION: u32 = 1;
+
+/// An unfinished job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub v: u32,
+    /// Time of day of its acceptance, in milliseconds.
+    pub at_ms: u64,
+    pub spec: JobSpec,
+}
+
+/// A job that is over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub v: u32,
+    pub stage: Stage,
+    pub tasks: u32,
+    /// What its last tasks may still use.
+    pub spec: JobSpec,
+}
+
+/// Who runs the shard.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OwnerRecord {
+    pub v: u32,
+    pub label: String,
+    pub hold: u64,
+    /// Tells one run of a controller's process from the next.
+    pub run: u64,
+}
+
+/// The shard's sequence number.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SequenceRecord {
+    pub v: u32,
+    pub term: u64,
+    pub n: u64,
+}
+
+/// A machine that may hold tasks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RosterRecord {
+    pub v: u32,
+    pub addr: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    /// It is being given back.
+    #[serde(default)]
+    pub returning: bool,
+}
+
+/// A rental that is not yet answered.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BookingRecord {
+    pub v: u32,
+    pub rental: Rental,
+}
--- /dev/null
+++ b/src/transport/front.rs
@@ -0,0 +1,112 @@
+//! The server for users, workers and the balancer.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::extract::{Path, State};
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use bytes::Bytes;
+
+use crate::coordination::node::Node;
+use crate::coordination::requests::{self, Ask, Reply};
+use crate::coordination::shard::ReportOutcome;
+use crate::protocol::workers::{Redirect, Report, ReportAnswer};
+
+/// Largest request body.
+const MAX_BODY: usize = 64 * 1024;
+/// When to come back after a 503.
+const RETRY_AFTER: &str = "1";
+
+type App = State<Arc<Node>>;
+
+/// Routes of the front address; other paths get 404, other methods 405.
+pub fn router(node: Arc<Node>) -> Router {
+    Router::new()
+        .route("/ready", get(ready))
+        .route("/v1/jobs", post(submit))
+        .route("/v1/jobs/{id}", get(poll))
+        .route("/v1/jobs/{id}/cancel", post(cancel))
+        .route("/v1/report", post(report))
+        .with_state(node)
+}
+
+fn respond(reply: Reply) -> Response {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let mut response = (
+        status,
+        [(header::CONTENT_TYPE, "application/json")],
+        reply.body,
+    )
+        .into_response();
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(
+            header::RETRY_AFTER,
+            header::HeaderValue::from_static(RETRY_AFTER),
+        );
+    }
+    response
+}
+
+async fn read_body(body: Body) -> Option<Bytes> {
+    to_bytes(body, MAX_BODY).await.ok()
+}
+
+async fn ready(State(node): App) -> Response {
+    if node.ready() {
+        StatusCode::OK.into_response()
+    } else {
+        respond(Reply::unavailable("not ready"))
+    }
+}
+
+async fn submit(State(node): App, body: Body) -> Response {
+    let Some(body) = read_body(body).await else {
+        return respond(Reply::malformed(
+            "the body can't be read or is too large",
+            None,
+        ));
+    };
+    respond(requests::answer(&node, Ask::Submit(body.to_vec()), false).await)
+}
+
+async fn poll(State(node): App, Path(id): Path<String>) -> Response {
+    respond(requests::answer(&node, Ask::Poll(id), false).await)
+}
+
+async fn cancel(State(node): App, Path(id): Path<String>) -> Response {
+    respond(requests::answer(&node, Ask::Cancel(id), false).await)
+}
+
+async fn report(State(node): App, body: Body) -> Response {
+    let Some(report) = read_body(body)
+        .await
+        .and_then(|body| serde_json::from_slice::<Report>(&body).ok())
+    else {
+        return respond(Reply::malformed("not a report", None));
+    };
+    let now = node.now();
+    node.lock().workers.insert(report.machine.clone(), now);
+    let answered = node.live_tenure().and_then(|tenure| {
+        let outcome = node.with_shard(&tenure, |shard, now| shard.report(&report, now))?;
+        // The shard took a moment: only a tenure that still holds may answer.
+        (tenure.live(node.now())).then_some((tenure.term, outcome))
+    });
+    match answered {
+        Some((term, ReportOutcome::Answer(commands))) => {
+            json(StatusCode::OK, &ReportAnswer { term, commands })
+        }
+        Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
+        None => {
+            let owner = node.owner_label().filter(|label| label != node.label());
+            json(StatusCode::MISDIRECTED_REQUEST, &Redirect { owner })
+        }
+    }
+}
+
+fn json(status: StatusCode, value: &impl serde::Serialize) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
--- /dev/null
+++ b/src/transport/internal.rs
@@ -0,0 +1,41 @@
+//! The server for other controllers.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::routing::post;
+
+use crate::coordination::node::Node;
+use crate::coordination::peering;
+use crate::coordination::requests::{self, Ask};
+use crate::protocol::peers::{PeerAnswer, PeerRequest, decode_request, encode_answer};
+
+/// Routes of the internal address.
+pub fn router(node: Arc<Node>) -> Router {
+    Router::new().route("/peer", post(peer)).with_state(node)
+}
+
+async fn peer(State(node): State<Arc<Node>>, body: Bytes) -> Vec<u8> {
+    let answer = match decode_request(&body) {
+        Some(PeerRequest::Pulse(pulse)) => {
+            peering::heard_pulse(&node, pulse);
+            PeerAnswer::Pulse(peering::own_pulse(&node))
+        }
+        Some(PeerRequest::Forward { method, path, body }) => {
+            match Ask::from_forward(&method, &path, body) {
+                Some(ask) => {
+                    let reply = requests::answer(&node, ask, true).await;
+                    PeerAnswer::Answer {
+                        status: reply.status,
+                        body: reply.body,
+                    }
+                }
+                None => PeerAnswer::Unreadable,
+            }
+        }
+        None => PeerAnswer::Unreadable,
+    };
+    encode_answer(&answer)
+}
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,5 @@
+//! Moving bytes: servers for users, workers and peers, and the HTTP client.
+
+pub mod client;
+pub mod front;
+pub mod internal;
