--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -307,10 +307,8 @@
     pub fn listed(&mut self, list: &[Listed], now: Instant) {
         let mut failed = Vec::new();
         for entry in list {
-            if entry.state == ListedState::Failed {
-                if !self.gone.contains_key(entry.id.as_str()) {
-                    failed.push(MachineId::from(entry.id.as_str()));
-                }
+            if entry.state == ListedState::Failed && !self.gone.contains_key(entry.id.as_str()) {
+                failed.push(MachineId::from(entry.id.as_str()));
             }
             let age = Duration::from_secs_f64(entry.age_s.clamp(0.0, 1e8));
             let rented = now.checked_sub(age).unwrap_or(now);
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -7,6 +7,9 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::{JobId, MachineId, TaskId};
 
+/// Attempts on one machine.
+type Victims = Vec<(TaskId, u64)>;
+
 /// Jobs looked at in one pass.
 const MOST_JOBS: usize = 8;
 
@@ -44,10 +47,10 @@
         usage: &Usage,
         slots: &[Slot],
         now: Instant,
-    ) -> Option<(MachineId, Vec<(TaskId, u64)>)> {
+    ) -> Option<(MachineId, Victims)> {
         let spec = &job.spec;
         let zones = self.live_zones(job);
-        let mut best: Option<(Duration, MachineId, Vec<(TaskId, u64)>)> = None;
+        let mut best: Option<(Duration, MachineId, Victims)> = None;
         for slot in slots {
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
                 && (!spec.scatter
