--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -6,7 +6,7 @@
 
 use super::machines::Amounts;
 use super::placement::allowed;
-use super::{Action, Machine, Shard};
+use super::{Action, Job, Machine, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
 use crate::protocol::users::{JobKind, JobSpec};
@@ -15,6 +15,10 @@
 const MOST_PER_RENTAL: u32 = 50;
 /// Waiting tasks of one job that a plan looks at.
 const MOST_FORESEEN: u32 = 5000;
+/// Run times are often underestimated by this much.
+const ESTIMATE_MARGIN: f64 = 1.3;
+/// Share of a good wait that is used before machines are rented for it.
+const PATIENCE: f64 = 0.5;
 /// Pause between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// How long arrivals are remembered to foresee the next ones.
@@ -53,6 +57,27 @@
     arrivals: VecDeque<(Instant, u32)>,
 }
 
+impl ClassHistory {
+    /// Tasks per second to reckon with. Arrivals are counted in slots, and the
+    /// fullest ones left out: a burst that is over says nothing of what comes.
+    fn rate(&self, now: Instant) -> f64 {
+        const SLOTS: usize = 12;
+        const KEPT: usize = 10;
+        let slot = ARRIVALS / SLOTS as u32;
+        let mut counts = [0_u32; SLOTS];
+        for (at, tasks) in &self.arrivals {
+            let age = now.saturating_duration_since(*at);
+            let index = (age.as_secs_f64() / slot.as_secs_f64()) as usize;
+            if let Some(count) = counts.get_mut(index) {
+                *count += tasks;
+            }
+        }
+        counts.sort_unstable();
+        let kept: u32 = counts[..KEPT].iter().sum();
+        f64::from(kept) / (slot.as_secs_f64() * KEPT as f64)
+    }
+}
+
 /// The cloud's side of the shard.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -507,20 +532,13 @@
             )
         });
         for job in jobs {
-            // Work that may wait for long first tries to find room by itself.
-            let patience = self
-                .policy
-                .wait_within
-                .get(&job.spec.class)
-                .map_or(Duration::ZERO, |within| within.mul_f64(0.2));
-            let age = Duration::from_millis(wall.saturating_sub(job.at_ms));
-            let patient = patience > Duration::from_secs(20) && age < patience;
-            if patient || job.failures > 3 {
+            if job.failures > 3 {
                 continue;
             }
-            let mut count = 0;
             let waiting = job.waiting().min(MOST_FORESEEN);
-            while count < waiting && self.within_limit(&usage, &job.spec) {
+            let wanted = self.slots_wanted(job, waiting, wall);
+            let mut count = 0;
+            while count < wanted && self.within_limit(&usage, &job.spec) {
                 usage.add(&job.spec);
                 count += 1;
             }
@@ -535,6 +553,29 @@
         demands
     }
 
+    /// How many machine slots a job's waiting tasks need now: those that can
+    /// wait share slots with one another and with the job's running tasks.
+    fn slots_wanted(&self, job: &Job, waiting: u32, wall: u64) -> u32 {
+        if job.spec.kind != JobKind::Batch || job.spec.duration_s <= 0.0 {
+            return waiting;
+        }
+        let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
+        let run = job.spec.duration_s * ESTIMATE_MARGIN;
+        // Seconds in which the last task should have started.
+        let slack = match (
+            job.spec.deadline_s,
+            self.policy.wait_within.get(&job.spec.class),
+        ) {
+            (Some(deadline), _) => deadline - age - run,
+            (None, Some(within)) => within.as_secs_f64() * PATIENCE - age,
+            (None, None) => 0.0,
+        };
+        let waves = (slack / run).floor().max(0.0) + 1.0;
+        let running = job.live.len() as f64;
+        let slots = (f64::from(waiting) + running) / waves - running;
+        slots.ceil().clamp(0.0, f64::from(waiting)) as u32
+    }
+
     /// Room for jobs that can't wait until a machine is up.
     fn foreseen(&self, demands: &mut Vec<Demand>, now: Instant) {
         let quickest = self
@@ -548,16 +589,7 @@
             if within.is_none_or(|within| within > quickest) {
                 continue;
             }
-            let seen: u32 = history
-                .arrivals
-                .iter()
-                .filter(|(at, _)| now.saturating_duration_since(*at) < ARRIVALS)
-                .map(|(_, tasks)| *tasks)
-                .sum();
-            let window = ARRIVALS
-                .min(now.saturating_duration_since(self.acquired))
-                .max(Duration::from_secs(30));
-            let rate = f64::from(seen) / window.as_secs_f64();
+            let rate = history.rate(now);
             let expected = rate * (quickest.as_secs_f64() * 1.5 + 10.0);
             let running = self
                 .jobs
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -189,7 +189,7 @@
             self.adopt_attempt(id, &key, line.state != TaskState::Ended, now);
         }
         let phase = match line.state {
-            TaskState::Fetching => Phase::Fetching,
+            TaskState::Fetching | TaskState::Waiting => Phase::Fetching,
             TaskState::Running => Phase::Running,
             TaskState::Saving => Phase::Saving,
             TaskState::Ended => Phase::Ended(line.ending.unwrap_or(Ending::Other)),
@@ -299,7 +299,7 @@
                 tracing::debug!(machine = %id, %task, ?ending, "start refused");
                 job.not_before = Some(now + Duration::from_millis(500));
             }
-            Ending::Error | Ending::Stopped => {}
+            Ending::Error | Ending::Stopped | Ending::Peers | Ending::Alone => {}
         }
         self.release(id, task);
         self.finish_if_done(&task.job.clone());
