--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -128,6 +128,8 @@
 struct Demand {
     spec: Arc<JobSpec>,
     count: u32,
+    /// One job's tasks, which may have to be apart; else room for many jobs.
+    one_job: bool,
     /// Rather ordinary machines than cheap ones that may be taken back.
     steady: bool,
 }
@@ -384,7 +386,7 @@
                     continue;
                 }
                 let mut n = bin.free.fits(&demand.spec).min(left);
-                if demand.spec.scatter {
+                if demand.spec.scatter && demand.one_job {
                     let there = per_zone.entry(bin.zone.clone()).or_default();
                     n = n.min(spread.saturating_sub(*there));
                     *there += n;
@@ -545,6 +547,7 @@
             demands.push(Demand {
                 spec: job.spec.clone(),
                 count,
+                one_job: true,
                 steady: false,
             });
         }
@@ -601,6 +604,7 @@
             demands.push(Demand {
                 spec: history.spec.clone(),
                 count: count.ceil().clamp(1.0, 1000.0) as u32,
+                one_job: false,
                 steady: false,
             });
         }
@@ -633,6 +637,7 @@
             demands.push(Demand {
                 count: (unused / spec.cores).floor().clamp(0.0, 1e5) as u32,
                 spec: spec.clone(),
+                one_job: false,
                 steady: true,
             });
         }
