--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -6,7 +6,7 @@
 
 use super::machines::Amounts;
 use super::{Attempt, Job, Machine, Phase, Shard};
-use crate::protocol::users::{JobKind, JobSpec, Priority};
+use crate::protocol::users::{JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
 /// Tasks of one job placed before its team's turn ends.
@@ -235,16 +235,7 @@
         now: Instant,
     ) -> usize {
         let mut placed = 0;
-        let mut most = BLOCK;
-        if let Some(job) = self.jobs.get(id)
-            && job.spec.kind == JobKind::Group
-        {
-            if !self.group_fits(job, usage, slots) {
-                return 0;
-            }
-            most = job.waiting() as usize;
-        }
-        while placed < most {
+        while placed < BLOCK {
             let Some(job) = self.jobs.get(id) else {
                 break;
             };
@@ -267,47 +258,6 @@
         placed
     }
 
-    /// Whether all waiting members of a group find room now, tried on copies.
-    fn group_fits(&self, job: &Job, usage: &Usage, slots: &[Slot]) -> bool {
-        let spec = &job.spec;
-        if !job.live.is_empty() {
-            // Members of an earlier try still end; they would not meet.
-            return false;
-        }
-        let zone = if spec.one_zone {
-            match self.best_zone(spec, slots) {
-                Some(zone) => Some(zone),
-                None => return false,
-            }
-        } else {
-            None
-        };
-        let mut usage = usage.clone();
-        let mut per_zone: BTreeMap<&str, u32> = BTreeMap::new();
-        let mut left = job.waiting();
-        for slot in slots {
-            if !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-                || zone.as_ref().is_some_and(|zone| *zone != slot.zone)
-            {
-                continue;
-            }
-            let there = per_zone.entry(&slot.zone).or_default();
-            let mut room = slot.free.fits(spec).min(left);
-            if spec.scatter {
-                room = room.min(spec.tasks.div_ceil(2).saturating_sub(*there));
-            }
-            for _ in 0..room {
-                if !self.within_limit(&usage, spec) {
-                    return false;
-                }
-                usage.add(spec);
-            }
-            *there += room;
-            left -= room;
-        }
-        left == 0
-    }
-
     /// Our companion: a fitting machine that holds the image, else the
     /// roomiest fitting one.
     fn choose(&self, job: &Job, slots: &[Slot]) -> Option<usize> {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -189,7 +189,7 @@
             self.adopt_attempt(id, &key, line.state != TaskState::Ended, now);
         }
         let phase = match line.state {
-            TaskState::Fetching | TaskState::Waiting => Phase::Fetching,
+            TaskState::Fetching => Phase::Fetching,
             TaskState::Running => Phase::Running,
             TaskState::Saving => Phase::Saving,
             TaskState::Ended => Phase::Ended(line.ending.unwrap_or(Ending::Other)),
@@ -268,6 +268,7 @@
             return;
         };
         let asked = attempt.stop.is_some();
+        tracing::debug!(machine = %id, %task, ?ending, asked, "attempt ended");
         let Some(job) = self.jobs.get_mut(&task.job) else {
             attempt.clearable = true;
             return;
@@ -283,7 +284,6 @@
                 self.writes.progress_changed(now);
             }
             Ending::Error if !asked => {
-                tracing::debug!(machine = %id, %task, "task failed");
                 job.failed(id, now);
                 // A job that fails everywhere says nothing about machines.
                 let suspicious = job.failed_on.len() > 2 && job.done.is_empty();
@@ -296,10 +296,9 @@
                 }
             }
             Ending::NoRoom | Ending::Busy | Ending::Unknown | Ending::Other => {
-                tracing::debug!(machine = %id, %task, ?ending, "start refused");
                 job.not_before = Some(now + Duration::from_millis(500));
             }
-            Ending::Error | Ending::Stopped | Ending::Peers | Ending::Alone => {}
+            Ending::Error | Ending::Stopped => {}
         }
         self.release(id, task);
         self.finish_if_done(&task.job.clone());
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -17,8 +17,6 @@
 pub enum JobKind {
     Batch,
     Standing,
-    /// Tasks that run together or not at all.
-    Group,
 }
 
 /// Priorities, lowest first.
@@ -104,8 +102,7 @@
     let kind = match fields.text("Form")?.as_str() {
         "batch" => JobKind::Batch,
         "standing" => JobKind::Standing,
-        "group" => JobKind::Group,
-        _ => return Err(Malformed::Invalid("Form", "batch, standing or group")),
+        _ => return Err(Malformed::Invalid("Form", "batch or standing")),
     };
     let priority = match fields.text("Tempo")?.as_str() {
         "prod" => Priority::Prod,
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -10,8 +10,6 @@
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
     Fetching,
-    /// A member of a group that waits for the others.
-    Waiting,
     Running,
     #[serde(rename = "flushing")]
     Saving,
@@ -31,10 +29,6 @@
     #[serde(rename = "in_use")]
     Busy,
     Unknown,
-    /// A member of a group ended because another one had ended.
-    Peers,
-    /// A member of a group ended because the others didn't come.
-    Alone,
     #[serde(other)]
     Other,
 }
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -30,9 +30,14 @@
         .route("/v1/jobs/{id}", get(poll))
         .route("/v1/jobs/{id}/cancel", post(cancel))
         .route("/v1/report", post(report))
+        .fallback(unknown_path)
         .with_state(node)
 }
 
+async fn unknown_path() -> Response {
+    respond(Reply::not_found())
+}
+
 fn respond(reply: Reply) -> Response {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let mut response = (
