--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -9,7 +9,7 @@
 use super::{Action, Job, Machine, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
-use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::users::{JobKind, JobSpec, Priority};
 
 /// Most machines in one rental request.
 const MOST_PER_RENTAL: u32 = 50;
@@ -18,7 +18,9 @@
 /// Run times are often underestimated by this much.
 const ESTIMATE_MARGIN: f64 = 1.3;
 /// Share of a good wait that is used before machines are rented for it.
-const PATIENCE: f64 = 0.5;
+const PATIENCE: f64 = 0.6;
+/// Work with less time than this to its latest start isn't kept waiting.
+const PATIENT_ENOUGH_S: f64 = 30.0;
 /// Pause between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// How long arrivals are remembered to foresee the next ones.
@@ -119,19 +121,52 @@
     zone: String,
     spot: bool,
     free: Amounts,
+    /// Batch tasks on it, lowest priority first.
+    yielding: Vec<Yielding>,
     used: bool,
     /// Sort: busy machines, idle ones, those that are yet to come.
     rank: u8,
 }
 
+impl Bin {
+    /// Counts what gives way as free, as far as some tasks of a job need it.
+    fn make_room(&mut self, spec: &JobSpec, tasks: u32) {
+        while self.free.fits(spec) < tasks {
+            match self.yielding.first() {
+                Some(lowest) if lowest.priority < spec.priority => {
+                    let lowest = self.yielding.remove(0);
+                    self.free.give(&lowest.spec);
+                }
+                _ => break,
+            }
+        }
+    }
+}
+
 /// A wish for room.
 struct Demand {
     spec: Arc<JobSpec>,
     count: u32,
     /// One job's tasks, which may have to be apart; else room for many jobs.
     one_job: bool,
-    /// Rather ordinary machines than cheap ones that may be taken back.
-    steady: bool,
+    offers: Offers,
+}
+
+/// Which offers a demand is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Offers {
+    /// The cheapest.
+    Any,
+    /// Ordinary machines if there are any: they are not taken back.
+    SteadyFirst,
+    /// Only spot machines: the work can wait for room.
+    SpotOnly,
+}
+
+/// What runs on a bin and gives way to higher priorities.
+struct Yielding {
+    priority: Priority,
+    spec: Arc<JobSpec>,
 }
 
 /// Something that can be rented.
@@ -372,7 +407,7 @@
     /// Compares the room that is wanted with the room there is.
     fn plan(&mut self, now: Instant) {
         let mut bins = self.bins(now);
-        let demands = self.demands(now);
+        let demands = self.demands(&bins, now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
         for demand in demands {
             let mut left = demand.count;
@@ -385,6 +420,7 @@
                 if !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
+                bin.make_room(&demand.spec, left);
                 let mut n = bin.free.fits(&demand.spec).min(left);
                 if demand.spec.scatter && demand.one_job {
                     let there = per_zone.entry(bin.zone.clone()).or_default();
@@ -418,6 +454,7 @@
                     zone: offer.zone.clone(),
                     spot: offer.spot,
                     free,
+                    yielding: Vec::new(),
                     used: true,
                     rank: 2,
                 });
@@ -487,6 +524,7 @@
                 zone: machine.zone.clone(),
                 spot: machine.spot,
                 free: machine.free(kind),
+                yielding: yielding(machine),
                 used: false,
                 rank: match (coming, machine.busy()) {
                     (false, true) => 0,
@@ -505,6 +543,7 @@
                         zone: rental.zone.clone(),
                         spot: rental.spot,
                         free: Amounts::of_type(kind),
+                        yielding: Vec::new(),
                         used: false,
                         rank: 2,
                     });
@@ -521,11 +560,15 @@
     }
 
     /// What waits, what is likely to come, and what is guaranteed.
-    fn demands(&self, now: Instant) -> Vec<Demand> {
+    fn demands(&self, bins: &[Bin], now: Instant) -> Vec<Demand> {
         let mut demands = Vec::new();
         let wall = super::placement::wall_ms();
         let mut usage = self.usage();
-        let mut jobs: Vec<_> = self.jobs.values().filter(|j| j.waiting() > 0).collect();
+        let mut jobs: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|job| job.waiting() > 0 && job.failures <= 3)
+            .collect();
         jobs.sort_by_key(|job| {
             (
                 std::cmp::Reverse(job.spec.priority),
@@ -533,60 +576,112 @@
                 job.at_ms,
             )
         });
+        let mut queued = 0.0;
         for job in jobs {
-            if job.failures > 3 {
-                continue;
-            }
             let waiting = job.waiting().min(MOST_FORESEEN);
-            let wanted = self.slots_wanted(job, waiting, wall);
             let mut count = 0;
-            while count < wanted && self.within_limit(&usage, &job.spec) {
+            while count < waiting && self.within_limit(&usage, &job.spec) {
                 usage.add(&job.spec);
                 count += 1;
             }
-            demands.push(Demand {
-                spec: job.spec.clone(),
-                count,
-                one_job: true,
-                steady: false,
-            });
+            let urgent = self.urgent(job, count, &mut queued, bins, wall);
+            for (count, offers) in [(urgent, Offers::Any), (count - urgent, Offers::SpotOnly)] {
+                if count > 0 {
+                    demands.push(Demand {
+                        spec: job.spec.clone(),
+                        count,
+                        one_job: true,
+                        offers,
+                    });
+                }
+            }
         }
         self.foreseen(&mut demands, now);
         self.guaranteed(&mut demands);
         demands
     }
 
-    /// How many machine slots a job's waiting tasks need now: those that can
-    /// wait share slots with one another and with the job's running tasks.
-    fn slots_wanted(&self, job: &Job, waiting: u32, wall: u64) -> u32 {
-        if job.spec.kind != JobKind::Batch || job.spec.duration_s <= 0.0 {
+    /// How many of a job's waiting tasks would start too late if they had to
+    /// wait for the room there is. `queued` is the work ahead of them, in
+    /// core-seconds, and grows by theirs.
+    fn urgent(&self, job: &Job, waiting: u32, queued: &mut f64, bins: &[Bin], wall: u64) -> u32 {
+        let spec = &job.spec;
+        if spec.kind != JobKind::Batch || spec.duration_s <= 0.0 || !spec.spot {
             return waiting;
         }
-        let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
-        let run = job.spec.duration_s * ESTIMATE_MARGIN;
-        // Seconds in which the last task should have started.
-        let slack = match (
-            job.spec.deadline_s,
-            self.policy.wait_within.get(&job.spec.class),
-        ) {
-            (Some(deadline), _) => deadline - age - run,
-            (None, Some(within)) => within.as_secs_f64() * PATIENCE - age,
-            (None, None) => 0.0,
+        let run = spec.duration_s * ESTIMATE_MARGIN;
+        let room: f64 = bins
+            .iter()
+            .filter(|bin| allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
+            .map(|bin| {
+                let running: f64 = bin
+                    .yielding
+                    .iter()
+                    .filter(|y| y.priority <= spec.priority)
+                    .map(|y| y.spec.cores)
+                    .sum();
+                bin.free.cores.max(0.0) + running
+            })
+            .sum();
+        let work = f64::from(waiting) * spec.cores * run;
+        *queued += work;
+        let Some(slack) = self.slack(job, run, wall) else {
+            return waiting;
         };
-        let waves = (slack / run).floor().max(0.0) + 1.0;
-        let running = job.live.len() as f64;
-        let slots = (f64::from(waiting) + running) / waves - running;
-        slots.ceil().clamp(0.0, f64::from(waiting)) as u32
+        if room < spec.cores {
+            // Nothing to wait for yet: ask for spot machines, and for others
+            // once half of the patience is gone.
+            return if slack > run * 0.5 && slack > PATIENT_ENOUGH_S {
+                0
+            } else {
+                waiting
+            };
+        }
+        let last_start = ((*queued - room * run) / room).max(0.0);
+        if last_start <= slack {
+            0
+        } else {
+            let late = 1.0 - slack.max(0.0) / last_start;
+            (f64::from(waiting) * late).ceil() as u32
+        }
     }
 
-    /// Room for jobs that can't wait until a machine is up.
-    fn foreseen(&self, demands: &mut Vec<Demand>, now: Instant) {
-        let quickest = self
-            .types
+    /// Seconds until a job's last task should start; None if nothing says so.
+    fn slack(&self, job: &Job, run: f64, wall: u64) -> Option<f64> {
+        let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
+        let class = &job.spec.class;
+        let start = self
+            .policy
+            .wait_within
+            .get(class)
+            .map(|within| within.as_secs_f64() * PATIENCE - age);
+        let finish = self
+            .policy
+            .finish_within
+            .get(class)
+            .map(|within| within.as_secs_f64() * PATIENCE - age - run);
+        let deadline = job
+            .spec
+            .deadline_s
+            .map(|deadline| deadline - age - run - self.quickest().as_secs_f64());
+        [start, finish, deadline]
+            .into_iter()
+            .flatten()
+            .min_by(f64::total_cmp)
+    }
+
+    /// The shortest usual time until a new machine is up.
+    fn quickest(&self) -> Duration {
+        self.types
             .values()
             .map(|kind| startup(kind))
             .min()
-            .unwrap_or_default();
+            .unwrap_or_default()
+    }
+
+    /// Room for jobs that can't wait until a machine is up.
+    fn foreseen(&self, demands: &mut Vec<Demand>, now: Instant) {
+        let quickest = self.quickest();
         for (class, history) in &self.fleet.classes {
             let within = self.policy.wait_within.get(class).copied();
             if within.is_none_or(|within| within > quickest) {
@@ -605,7 +700,7 @@
                 spec: history.spec.clone(),
                 count: count.ceil().clamp(1.0, 1000.0) as u32,
                 one_job: false,
-                steady: false,
+                offers: Offers::Any,
             });
         }
     }
@@ -638,7 +733,7 @@
                 count: (unused / spec.cores).floor().clamp(0.0, 1e5) as u32,
                 spec: spec.clone(),
                 one_job: false,
-                steady: true,
+                offers: Offers::SteadyFirst,
             });
         }
     }
@@ -674,14 +769,18 @@
                         continue;
                     }
                     let run = if spec.duration_s > 0.0 {
-                        spec.duration_s.max(LEAST_CHARGE.as_secs_f64())
+                        (spec.duration_s * 2.0).max(LEAST_CHARGE.as_secs_f64() * 2.0)
                     } else {
                         LONG_RUN_S
                     };
                     let boot = startup(kind).as_secs_f64();
                     let mut cost = price * (boot + run) / run / f64::from(fits.min(left));
-                    if demand.steady && spot {
-                        cost *= 1e3;
+                    match demand.offers {
+                        Offers::Any => {}
+                        Offers::SteadyFirst if spot => cost *= 1e3,
+                        Offers::SteadyFirst => {}
+                        Offers::SpotOnly if spot => {}
+                        Offers::SpotOnly => continue,
                     }
                     // Equal offers are spread over the zones.
                     let crowd = self
@@ -751,6 +850,23 @@
     }
 }
 
+/// The batch tasks on a machine, lowest priority first.
+fn yielding(machine: &Machine) -> Vec<Yielding> {
+    let mut tasks: Vec<Yielding> = machine
+        .attempts
+        .values()
+        .filter(|attempt| !attempt.ended() && attempt.stop.is_none())
+        .filter_map(|attempt| attempt.spec.clone())
+        .filter(|spec| spec.kind == JobKind::Batch)
+        .map(|spec| Yielding {
+            priority: spec.priority,
+            spec,
+        })
+        .collect();
+    tasks.sort_by_key(|task| task.priority);
+    tasks
+}
+
 fn startup(kind: &MachineType) -> Duration {
     Duration::from_secs_f64(kind.startup_s.clamp(0.0, 1e6))
 }
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -29,6 +29,7 @@
 use crate::protocol::workers::{Command, Report};
 use crate::protocol::{JobId, MachineId};
 use crate::settings::Settings;
+use crate::settings::platform::Objective;
 
 /// What the owner wants done outside. Each is answered by an event.
 #[derive(Debug, Clone, PartialEq)]
@@ -85,6 +86,8 @@
     pub teams: HashMap<String, TeamPolicy>,
     /// Longest good wait for a start, by class.
     pub wait_within: HashMap<String, Duration>,
+    /// Longest good time until the end, by class.
+    pub finish_within: HashMap<String, Duration>,
     pub report: Duration,
     pub worker_lease: Duration,
     pub list_lag: Duration,
@@ -121,15 +124,8 @@
                     (team.name.clone(), policy)
                 })
                 .collect(),
-            wait_within: given
-                .objectives
-                .iter()
-                .filter(|aim| aim.kind == "wait")
-                .filter_map(|aim| {
-                    let within = aim.within_s.filter(|s| (0.0..1e9).contains(s))?;
-                    Some((aim.class.clone()?, Duration::from_secs_f64(within)))
-                })
-                .collect(),
+            wait_within: within(&given.objectives, "wait"),
+            finish_within: within(&given.objectives, "finished"),
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
             list_lag: Duration::from_secs_f64(given.cloud.list_lag_s),
@@ -153,6 +149,18 @@
     }
 }
 
+/// The times of the aims of one kind, by class.
+fn within(objectives: &[Objective], kind: &str) -> HashMap<String, Duration> {
+    objectives
+        .iter()
+        .filter(|aim| aim.kind == kind)
+        .filter_map(|aim| {
+            let within = aim.within_s.filter(|s| (0.0..1e9).contains(s))?;
+            Some((aim.class.clone()?, Duration::from_secs_f64(within)))
+        })
+        .collect()
+}
+
 /// One shard as its owner sees it.
 pub struct Shard {
     pub policy: Policy,
