--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -115,17 +115,17 @@
 }
 
 /// Room that is there or will be, for the plan.
-struct Bin {
-    machine: Option<MachineId>,
-    machine_type: String,
-    zone: String,
-    spot: bool,
-    free: Amounts,
+pub(super) struct Bin {
+    pub machine: Option<MachineId>,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Amounts,
     /// Batch tasks on it, lowest priority first.
     yielding: Vec<Yielding>,
-    used: bool,
+    pub used: bool,
     /// Sort: busy machines, idle ones, those that are yet to come.
-    rank: u8,
+    pub rank: u8,
 }
 
 impl Bin {
@@ -460,6 +460,12 @@
                 });
             }
         }
+        if wanted.is_empty() && self.fleet.bookings.is_empty() {
+            self.consolidate(&bins, now);
+        } else if self.stop_draining() {
+            // There was room after all: plan again with it.
+            return;
+        }
         for ((machine_type, zone, spot), count) in wanted {
             self.book(machine_type, zone, spot, count.min(MOST_PER_RENTAL));
         }
@@ -835,7 +841,7 @@
             let idle = machine
                 .idle_since
                 .is_some_and(|since| now.saturating_duration_since(since) >= self.policy.idle);
-            if machine.condemned || machine.notice.is_some() {
+            if machine.condemned || machine.draining || machine.notice.is_some() {
                 back.push((machine.id.clone(), "it is empty and gets no more tasks"));
             } else if idle
                 && spare.contains(&machine.id)
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -176,6 +176,8 @@
     pub errors: Vec<JobId>,
     /// Gets no new tasks and is given back when empty.
     pub condemned: bool,
+    /// Being emptied, so that it can be given back.
+    pub draining: bool,
     /// A deletion is under way.
     pub deleting: bool,
     pub deletion_since: Option<Instant>,
@@ -210,6 +212,7 @@
             idle_since: None,
             errors: Vec::new(),
             condemned: false,
+            draining: false,
             deleting: false,
             deletion_since: None,
             listed: false,
@@ -238,6 +241,7 @@
             && self.session.is_some()
             && !self.deleting
             && !self.condemned
+            && !self.draining
             && self.notice.is_none()
             && !self.vanished
             && self.silence(now) < suspect
