--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -21,6 +21,10 @@
 const PATIENCE: f64 = 0.6;
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
+/// Machines are often up later than usual by this much.
+const BOOT_MARGIN: f64 = 1.2;
+/// A machine that comes this much too late is worth half as much.
+const LATE_DOUBLES_S: f64 = 30.0;
 /// Pause between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// How long arrivals are remembered to foresee the next ones.
@@ -150,6 +154,8 @@
     /// One job's tasks, which may have to be apart; else room for many jobs.
     one_job: bool,
     offers: Offers,
+    /// Seconds until it should start; an offer that takes longer loses worth.
+    slack_s: Option<f64>,
 }
 
 /// Which offers a demand is worth.
@@ -598,6 +604,7 @@
                         count,
                         one_job: true,
                         offers,
+                        slack_s: self.start_slack(job, wall),
                     });
                 }
             }
@@ -652,6 +659,17 @@
         }
     }
 
+    /// Seconds until a job's waiting tasks should start on a machine rented now.
+    fn start_slack(&self, job: &Job, wall: u64) -> Option<f64> {
+        let run = job.spec.duration_s * ESTIMATE_MARGIN;
+        let slack = self.slack(job, run, wall)?;
+        let boot = match job.spec.deadline_s {
+            Some(_) => self.quickest().as_secs_f64(),
+            None => 0.0,
+        };
+        Some(slack + boot)
+    }
+
     /// Seconds until a job's last task should start; None if nothing says so.
     fn slack(&self, job: &Job, run: f64, wall: u64) -> Option<f64> {
         let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
@@ -707,6 +725,7 @@
                 count: count.ceil().clamp(1.0, 1000.0) as u32,
                 one_job: false,
                 offers: Offers::Any,
+                slack_s: None,
             });
         }
     }
@@ -740,6 +759,7 @@
                 spec: spec.clone(),
                 one_job: false,
                 offers: Offers::SteadyFirst,
+                slack_s: None,
             });
         }
     }
@@ -788,6 +808,10 @@
                         Offers::SpotOnly if spot => {}
                         Offers::SpotOnly => continue,
                     }
+                    if let Some(slack) = demand.slack_s {
+                        let late = (boot * BOOT_MARGIN - slack).max(0.0);
+                        cost *= 1.0 + late / LATE_DOUBLES_S;
+                    }
                     // Equal offers are spread over the zones.
                     let crowd = self
                         .machines
