--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -3,12 +3,12 @@
 (
  ;; Time to live of a controller's hold in the state service [1 to 60]. Longer
  ;; rides out slower state services; shorter takes over sooner after a crash.
- (lease-s . 6.0)
+ (lease-s . 3.0)
  ;; How often the hold is renewed [0.1 to a third of lease-s].
- (renew-s . 1.0)
+ (renew-s . 0.5)
  ;; How long before the hold's earliest end its owner stops acting, to cover
  ;; clock drift and a busy processor [0.05 to a third of lease-s].
- (lease-margin-s . 0.5)
+ (lease-margin-s . 0.3)
  ;; How often a changed shard is snapshotted [0.2 to 60].
  (snapshot-s . 3.0)
  ;; Age of unsnapshotted changes past which nothing is started [snapshot-s to 600].
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -88,7 +88,8 @@
         let operator = Operator::default();
         let sent = Instant::now();
         let until = deadline(&operator, sent);
-        assert!(until < sent + operator.lease() - Duration::from_millis(500));
+        let margin = Duration::from_secs_f64(operator.lease_margin_s);
+        assert!(until < sent + operator.lease() - margin);
         let tenure = Tenure::new(1, 10, until, sent);
         assert!(tenure.live(until - Duration::from_millis(1)));
         assert!(!tenure.live(until));
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -30,6 +30,8 @@
 const WATCH: Duration = Duration::from_secs(3);
 /// Deadline of ordinary state requests.
 pub const STATE_DEADLINE: Duration = Duration::from_millis(1000);
+/// Pause between two tries to renew a hold in trouble.
+const RENEW_RETRY: Duration = Duration::from_millis(150);
 /// Advantage of the candidate that is nearest to the machines.
 const NEAREST_FIRST: Duration = Duration::from_millis(150);
 /// Disadvantage of a candidate that couldn't hear the workers.
@@ -68,6 +70,12 @@
     pub workers: HashMap<String, Instant>,
     /// The zone that holds most machines, as the owner last said.
     pub main_zone: Option<String>,
+    /// An attempt to acquire the shard is under way, or its outcome unknown.
+    pub acquiring: bool,
+    /// The last owner was an earlier run of this process, which is dead.
+    pub previous_run_ended: bool,
+    /// Until when this node has promised to leave the shard to its owner.
+    pub promised_until: Option<Instant>,
     /// Until when this node should rather not own the shard.
     pub deaf_until: Option<Instant>,
 }
@@ -182,6 +190,12 @@
         failed.is_some_and(|failed| failed > served) && recent > Duration::from_millis(1500)
     }
 
+    /// Whether the last answer of the state service was none, or a refusal.
+    pub fn state_failing(&self) -> bool {
+        let (served, failed) = self.state.health();
+        failed.is_some() && failed > served
+    }
+
     /// Whether some other controller says that the state service serves it.
     pub fn peer_served(&self) -> bool {
         let now = self.now();
@@ -312,6 +326,7 @@
                     "ending the hold of this node's earlier run"
                 );
                 node.state.release(owner.hold, STATE_DEADLINE).await?;
+                node.lock().previous_run_ended = true;
             }
             Some(owner) if owner.label == node.label() => {
                 // A tenure that this run gave up, or an acquisition whose
@@ -338,6 +353,23 @@
 fn candidate_delay(node: &Arc<Node>) -> Duration {
     let now = node.now();
     let inner = node.lock();
+    // An owner may be going on by our promise, or by one that an earlier run
+    // of this process gave.
+    let promised = inner.promised_until.filter(|until| *until > now);
+    let others = node.settings.platform.others.len();
+    let no_owner_about = inner.previous_run_ended
+        || inner
+            .peers
+            .values()
+            .filter(|view| view.pulse.term.is_none())
+            .count()
+            == others;
+    let earlier = (!no_owner_about)
+        .then_some(node.started + peering::LONGEST_PROMISE)
+        .filter(|until| *until > now);
+    if let Some(until) = promised.max(earlier) {
+        return until.saturating_duration_since(now) + Duration::from_millis(10);
+    }
     if inner.deaf_until.is_some_and(|until| until > now) {
         return DEAF_LAST;
     }
@@ -349,43 +381,61 @@
 
 /// Raises the term; the tenure it returns is being renewed.
 async fn acquire(node: &Arc<Node>) -> Option<Arc<Tenure>> {
+    {
+        let now = node.now();
+        let mut inner = node.lock();
+        if inner.promised_until.is_some_and(|until| until > now) {
+            return None;
+        }
+        inner.acquiring = true;
+    }
+    let (tenure, settled) = try_acquire(node).await;
+    // Without a settled outcome no promise is given until the next try.
+    node.lock().acquiring = !settled;
+    tenure
+}
+
+/// A tenure if the shard is ours, and whether the outcome is surely known.
+async fn try_acquire(node: &Arc<Node>) -> (Option<Arc<Tenure>>, bool) {
     let operator = &node.settings.operator;
     let sent = node.now();
-    let hold = node
-        .state
-        .hold(operator.lease(), STATE_DEADLINE)
-        .await
-        .ok()?;
+    let Ok(hold) = node.state.hold(operator.lease(), STATE_DEADLINE).await else {
+        // A hold that nothing is attached to runs out unnoticed.
+        return (None, true);
+    };
     let record = OwnerRecord {
         v: VERSION,
         label: node.label().to_owned(),
         hold,
         run: node.run,
     };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return (None, true);
+    };
     let txn = Txn::default().guard(keys::owner(), 0).change(Change::Put {
         key: keys::owner(),
-        value: serde_json::to_value(&record).ok()?,
+        value,
         hold: Some(hold),
     });
     let term = match node.state.txn(&txn, STATE_DEADLINE).await {
         Ok(TxnOutcome::Committed { revision }) => revision,
         Ok(TxnOutcome::Conflict) => {
             let _ = node.state.release(hold, STATE_DEADLINE).await;
-            return None;
+            return (None, true);
         }
         Err(error) => {
             // It may be applied yet; ending the hold takes its record along,
             // and standing by ends it again if this has no answer either.
             warn!(%error, "the shard could not be acquired");
-            let _ = node.state.release(hold, STATE_DEADLINE).await;
-            return None;
+            let released = node.state.release(hold, STATE_DEADLINE).await;
+            return (None, released.is_ok());
         }
     };
     let until = lease::deadline(operator, sent);
     let tenure = Arc::new(Tenure::new(hold, term, until, node.now()));
     info!(term, hold, "shard acquired");
     tokio::spawn(renew(node.clone(), tenure.clone()));
-    Some(tenure)
+    (Some(tenure), true)
 }
 
 /// Renews the hold until it has ended, on a connection of its own.
@@ -415,12 +465,24 @@
                 if !std::mem::replace(&mut trouble, true) {
                     warn!(term = tenure.term, %error, "the hold can't be renewed");
                 }
-                tokio::time::sleep(Duration::from_millis(150)).await;
+                extend_by_promises(&node, &tenure).await;
+                tokio::time::sleep(RENEW_RETRY).await;
             }
         }
     }
 }
 
+/// Without the state service, an owner goes on as long as every other
+/// controller promises not to seek the shard.
+async fn extend_by_promises(node: &Arc<Node>, tenure: &Tenure) {
+    let time = peering::LONGEST_PROMISE;
+    let sent = node.now();
+    if tenure.live(sent) && peering::all_promise(node, time).await {
+        let margin = Duration::from_secs_f64(node.settings.operator.lease_margin_s).min(time / 4);
+        tenure.renewed(sent + time.mul_f64(0.998) - margin);
+    }
+}
+
 /// Owns the shard until the tenure ends.
 async fn serve(node: &Arc<Node>, tenure: Arc<Tenure>) {
     let mut attempt = 0;
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -22,6 +22,9 @@
 const LEAST_TENURE: Duration = Duration::from_secs(20);
 /// How long a node that couldn't hear the workers leaves the shard to others.
 const DEAF_FOR: Duration = Duration::from_secs(30);
+/// Longest promise that is given. A process that has just started waits this
+/// long before it seeks the shard: its earlier run may have promised.
+pub const LONGEST_PROMISE: Duration = Duration::from_secs(1);
 
 /// Sends a frame to another controller.
 pub async fn ask(
@@ -44,6 +47,44 @@
     decode_answer(&answer.body)
 }
 
+/// Promises not to seek the shard for a while, so that its owner can go on
+/// through an outage of the state service. Not given when the service serves
+/// this node: then the owner alone is cut off, and should be replaced.
+pub fn promise(node: &Node, time: Duration) -> bool {
+    let now = node.now();
+    let lost = node.state_failing();
+    let mut inner = node.lock();
+    if !lost || inner.acquiring || inner.ownership.is_some() || time > LONGEST_PROMISE {
+        return false;
+    }
+    // Our own clock may run fast against the owner's.
+    let until = now + time.mul_f64(1.002);
+    inner.promised_until = inner.promised_until.max(Some(until));
+    true
+}
+
+/// Asks all other controllers for a promise; true if every one gives it.
+pub async fn all_promise(node: &Arc<Node>, time: Duration) -> bool {
+    let mut asked = tokio::task::JoinSet::new();
+    for peer in &node.settings.platform.others {
+        let (node, peer) = (node.clone(), peer.clone());
+        let request = PeerRequest::Promise {
+            millis: time.as_millis() as u64,
+        };
+        asked.spawn(async move {
+            matches!(
+                ask(&node, &peer, &request, PULSE_DEADLINE).await,
+                Some(PeerAnswer::Promise { given: true })
+            )
+        });
+    }
+    let mut all = true;
+    while let Some(answer) = asked.join_next().await {
+        all &= answer.unwrap_or(false);
+    }
+    all
+}
+
 /// What this node says of itself.
 pub fn own_pulse(node: &Node) -> Pulse {
     let now = node.now();
@@ -84,7 +125,6 @@
 pub async fn pulse(node: Arc<Node>) {
     let mut deaf = 0;
     loop {
-        tokio::time::sleep(ROUND).await;
         note_main_zone(&node);
         for peer in &node.settings.platform.others {
             let (node, peer) = (node.clone(), peer.clone());
@@ -102,6 +142,7 @@
         tokio::spawn(async move {
             let _ = probing.state.get(&keys::owner(), STATE_DEADLINE).await;
         });
+        tokio::time::sleep(ROUND).await;
         deaf = if is_deaf(&node) { deaf + 1 } else { 0 };
         let Some(tenure) = node.tenure() else {
             continue;
@@ -146,6 +187,9 @@
         .max_by_key(|(_, count)| *count)
         .map(|(zone, _)| zone.to_owned());
     if main.is_some() {
+        if let Some(own) = &mut inner.ownership {
+            own.shard.main_zone.clone_from(&main);
+        }
         inner.main_zone = main;
     }
 }
@@ -157,7 +201,7 @@
     let Some(own) = &inner.ownership else {
         return false;
     };
-    if now.saturating_duration_since(own.tenure.since) < HEARD {
+    if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < HEARD {
         return false;
     }
     let (heard, expected) = own.shard.hearing(now);
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -50,6 +50,7 @@
             // term is in it.
             next_take: term << TAKE_BITS,
             next_command: 0,
+            main_zone: None,
             restless: true,
             out: Vec::new(),
         };
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -180,6 +180,9 @@
     writes: writes::Writer,
     next_take: u64,
     next_command: u64,
+    /// The zone of a controller that holds most machines: services are safest
+    /// there, since its controller hears them whatever zones are cut apart.
+    pub main_zone: Option<String>,
     /// Something changed that may allow or need new decisions.
     restless: bool,
     out: Vec<Action>,
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -6,7 +6,7 @@
 
 use super::machines::Amounts;
 use super::{Attempt, Job, Machine, Phase, Shard};
-use crate::protocol::users::{JobSpec, Priority};
+use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
 /// Tasks of one job placed before its team's turn ends.
@@ -272,6 +272,14 @@
         };
         let per_zone = spec.tasks.div_ceil(2);
         let avoid = job.failed_on.len() < slots.len();
+        // Services stay where a controller hears them through a cut.
+        let far = |slot: &Slot| {
+            spec.kind == JobKind::Standing
+                && self
+                    .main_zone
+                    .as_ref()
+                    .is_some_and(|zone| *zone != slot.zone)
+        };
         slots
             .iter()
             .enumerate()
@@ -298,6 +306,7 @@
                 };
                 lacks_a
                     .cmp(&lacks_b)
+                    .then(far(a).cmp(&far(b)))
                     .then(b.spot.cmp(&a.spot))
                     .then(room)
                     .then(a.id.cmp(&b.id))
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -7,6 +7,9 @@
 pub enum PeerRequest {
     /// How are you, and whom do you hear? Sent about once a second.
     Pulse(Pulse),
+    /// The owner can't reach the state service: will you leave the shard alone
+    /// for this long?
+    Promise { millis: u64 },
     /// A user's request that the sender can't serve itself.
     Forward {
         method: String,
@@ -36,6 +39,10 @@
 #[derive(Debug, Clone, Archive, Serialize, Deserialize)]
 pub enum PeerAnswer {
     Pulse(Pulse),
+    /// Whether the promise is given.
+    Promise {
+        given: bool,
+    },
     /// The final answer to a forwarded request.
     Answer {
         status: u16,
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -37,9 +37,9 @@
 impl Default for Operator {
     fn default() -> Self {
         Self {
-            lease_s: 6.0,
-            renew_s: 1.0,
-            lease_margin_s: 0.5,
+            lease_s: 3.0,
+            renew_s: 0.5,
+            lease_margin_s: 0.3,
             snapshot_s: 3.0,
             staleness_s: 15.0,
             snapshot_write_share: 0.5,
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -1,6 +1,7 @@
 //! The server for other controllers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Router;
 use axum::body::Bytes;
@@ -23,6 +24,9 @@
             peering::heard_pulse(&node, pulse);
             PeerAnswer::Pulse(peering::own_pulse(&node))
         }
+        Some(PeerRequest::Promise { millis }) => PeerAnswer::Promise {
+            given: peering::promise(&node, Duration::from_millis(millis)),
+        },
         Some(PeerRequest::Forward { method, path, body }) => {
             match Ask::from_forward(&method, &path, body) {
                 Some(ask) => {
