--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -7,9 +7,12 @@
 use hyper::Method;
 
 use super::node::{Node, PeerView, STATE_DEADLINE, step_down};
+use super::shard::wall_ms;
 use crate::protocol::peers::{PeerAnswer, PeerRequest, Pulse, decode_answer, encode_request};
+use crate::protocol::state::{Change, Txn};
 use crate::settings::platform::Peer;
 use crate::storage::keys;
+use crate::storage::records::{HearingRecord, VERSION};
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
@@ -17,9 +20,13 @@
 /// How long a worker that came by counts as heard.
 const HEARD: Duration = Duration::from_secs(8);
 /// Rounds for which an owner must hear too little before it gives up.
-const DEAF_ROUNDS: u32 = 4;
+const DEAF_ROUNDS: u32 = 2;
 /// How long an owner stays at the least before it hands over to a nearer one.
-const LEAST_TENURE: Duration = Duration::from_secs(20);
+const LEAST_TENURE: Duration = Duration::from_secs(6);
+/// A peer's pulse older than this means that it can't be reached.
+const PULSE_FRESH: Duration = Duration::from_secs(3);
+/// Age up to which a hearing record counts.
+const HEARING_FRESH_MS: u64 = 5000;
 /// How long a node that couldn't hear the workers leaves the shard to others.
 const DEAF_FOR: Duration = Duration::from_secs(30);
 /// Longest promise that is given. A process that has just started waits this
@@ -143,7 +150,8 @@
             let _ = probing.state.get(&keys::owner(), STATE_DEADLINE).await;
         });
         tokio::time::sleep(ROUND).await;
-        deaf = if is_deaf(&node) { deaf + 1 } else { 0 };
+        tell_hearing(&node).await;
+        deaf = if is_deaf(&node).await { deaf + 1 } else { 0 };
         let Some(tenure) = node.tenure() else {
             continue;
         };
@@ -194,24 +202,86 @@
     }
 }
 
-/// Whether this owner hears too few workers while a peer hears more.
-fn is_deaf(node: &Node) -> bool {
+/// Zones may be cut from one another while the state service reaches both:
+/// a controller that hears workers but not the owner says so there.
+async fn tell_hearing(node: &Arc<Node>) {
     let now = node.now();
-    let inner = node.lock();
-    let Some(own) = &inner.ownership else {
-        return false;
+    let workers = {
+        let inner = node.lock();
+        let owner = inner.seen_owner.as_ref().map(|owner| &owner.label);
+        let Some(owner) = owner.filter(|label| *label != node.label()) else {
+            return;
+        };
+        let reachable = inner
+            .peers
+            .get(owner)
+            .is_some_and(|view| now.saturating_duration_since(view.at) < PULSE_FRESH);
+        if reachable || inner.ownership.is_some() {
+            return;
+        }
+        inner.workers.len() as u32
     };
-    if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < HEARD {
-        return false;
+    if workers == 0 || node.state_lost() {
+        return;
     }
-    let (heard, expected) = own.shard.hearing(now);
-    expected > 1
-        && heard * 2 < expected
-        && inner.peers.values().any(|view| {
-            now.saturating_duration_since(view.at) < Duration::from_secs(3)
-                && view.pulse.state_served
-                && view.pulse.workers_heard as usize > heard
-        })
+    let record = HearingRecord {
+        v: VERSION,
+        workers,
+        at_ms: wall_ms(),
+    };
+    if let Ok(value) = serde_json::to_value(record) {
+        let txn = Txn::default().change(Change::put(keys::hearing(node.label()), value));
+        let _ = node.state.txn(&txn, STATE_DEADLINE).await;
+    }
+}
+
+/// Workers heard by the controller that hears most of them, by their records.
+async fn heard_elsewhere(node: &Node) -> usize {
+    let Ok((items, _)) = node
+        .state
+        .list(&keys::hearing_prefix(), STATE_DEADLINE)
+        .await
+    else {
+        return 0;
+    };
+    let wall = wall_ms();
+    items
+        .into_iter()
+        .filter(|item| item.key != keys::hearing(node.label()))
+        .filter_map(|item| serde_json::from_value::<HearingRecord>(item.value).ok())
+        .filter(|record| wall.abs_diff(record.at_ms) < HEARING_FRESH_MS)
+        .map(|record| record.workers as usize)
+        .max()
+        .unwrap_or(0)
+}
+
+/// Whether this owner hears too few workers while a peer hears more.
+async fn is_deaf(node: &Node) -> bool {
+    let now = node.now();
+    let (heard, by_pulse) = {
+        let inner = node.lock();
+        let Some(own) = &inner.ownership else {
+            return false;
+        };
+        if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < LEAST_TENURE {
+            return false;
+        }
+        let (heard, expected) = own.shard.hearing(now);
+        if expected < 2 || heard * 2 >= expected {
+            return false;
+        }
+        let by_pulse = inner
+            .peers
+            .values()
+            .filter(|view| {
+                now.saturating_duration_since(view.at) < PULSE_FRESH && view.pulse.state_served
+            })
+            .map(|view| view.pulse.workers_heard as usize)
+            .max()
+            .unwrap_or(0);
+        (heard, by_pulse)
+    };
+    by_pulse > heard || heard_elsewhere(node).await > heard
 }
 
 /// Whether a peer in the zone of most machines could run the shard instead.
@@ -227,6 +297,6 @@
             now.saturating_duration_since(view.at) < Duration::from_secs(2)
                 && view.pulse.zone == *main
                 && view.pulse.state_served
-                && view.pulse.up_s > LEAST_TENURE.as_secs()
+                && view.pulse.up_s > LEAST_TENURE.as_secs() / 2
         })
 }
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -245,7 +245,9 @@
                     Some((m.id.clone(), "the cloud has taken it"))
                 } else if silence >= self.policy.abandon && !many {
                     Some((m.id.clone(), "its worker is silent"))
-                } else if now > m.lease_over && silence >= self.policy.worker_lease {
+                } else if now > m.lease_over
+                    && silence >= self.policy.worker_lease * if many { 4 } else { 1 }
+                {
                     Some((m.id.clone(), "its worker's lease is over"))
                 } else {
                     None
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -243,13 +243,12 @@
         Some((stage, job.done.len(), running))
     }
 
-    /// Machines heard within the suspect time, and all that should be heard.
+    /// Machines heard within the time of a report or two, and all that should
+    /// be heard.
     pub fn hearing(&self, now: Instant) -> (usize, usize) {
         let expected = self.machines.values().filter(|m| m.should_report());
-        let heard = expected
-            .clone()
-            .filter(|m| m.silence(now) < self.policy.suspect)
-            .count();
+        let recent = self.policy.report.mul_f64(1.6);
+        let heard = expected.clone().filter(|m| m.silence(now) < recent).count();
         (heard, expected.count())
     }
 
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -59,3 +59,13 @@
 pub fn booking(request: &str) -> String {
     format!("b/{SHARD}/{request}")
 }
+
+/// Prefix of what controllers that can't reach the owner say of the workers.
+pub fn hearing_prefix() -> String {
+    format!("h/{SHARD}/")
+}
+
+/// What one controller says of the workers that it hears.
+pub fn hearing(label: &str) -> String {
+    format!("h/{SHARD}/{label}")
+}
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -67,3 +67,12 @@
     pub v: u32,
     pub rental: Rental,
 }
+
+/// How many workers a controller hears that can't reach the owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HearingRecord {
+    pub v: u32,
+    pub workers: u32,
+    /// Time of day, in milliseconds.
+    pub at_ms: u64,
+}
