The jobs of a class share a new machine in its price

Cause: each one-task service looked for the cheapest machine for itself, so 40 services waited for slow small machines.

--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -417,7 +417,15 @@
         let mut bins = self.bins(now);
         let demands = self.demands(&bins, now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        // A new machine is shared with the jobs of the class that follow.
+        let mut class_left: HashMap<String, u32> = HashMap::new();
+        for demand in &demands {
+            *class_left.entry(demand.spec.class.clone()).or_default() += demand.count;
+        }
         for demand in demands {
+            let companions = class_left.entry(demand.spec.class.clone()).or_default();
+            *companions -= demand.count;
+            let companions = *companions;
             let mut left = demand.count;
             let spread = demand.spec.tasks.div_ceil(2);
             let mut per_zone: HashMap<String, u32> = HashMap::new();
@@ -442,7 +450,7 @@
                 left -= n;
             }
             while left > 0 {
-                let Some(offer) = self.best_offer(&demand, left, now) else {
+                let Some(offer) = self.best_offer(&demand, left + companions, now) else {
                     break;
                 };
                 let mut free = Amounts::of_type(&offer.kind);
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -106,6 +106,12 @@
             return;
         }
         self.fleet.note_arrival(&record.spec, now, now);
+        tracing::debug!(
+            job = id,
+            class = record.spec.class,
+            tasks = record.spec.tasks,
+            "job accepted"
+        );
         let id: JobId = id.into();
         self.jobs.insert(id.clone(), Job::new(id, mark, record));
         self.restless = true;
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -207,6 +207,7 @@
         attempt.phase = phase;
         attempt.since = now;
         if phase == Phase::Running {
+            tracing::debug!(machine = %id, task = %line.task, "running");
             attempt.running_since.get_or_insert(now);
         }
         let started =
