--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -21,6 +21,8 @@
 use crate::transport::client::CallError;
 
 const COMMAND_DEADLINE: Duration = Duration::from_secs(2);
+/// For an empty batch, which only asks for a report.
+const PROBE_DEADLINE: Duration = Duration::from_secs(1);
 const CLOUD_DEADLINE: Duration = Duration::from_secs(4);
 /// Entries on one page of the machine list.
 const LIST_PAGE: usize = 500;
@@ -88,9 +90,14 @@
     if !tenure.live(node.now()) {
         return CommandOutcome::NotSent;
     }
+    let deadline = if commands.is_empty() {
+        PROBE_DEADLINE
+    } else {
+        COMMAND_DEADLINE
+    };
     let answer = node
         .http
-        .call(Method::POST, addr, "/commands", body, COMMAND_DEADLINE)
+        .call(Method::POST, addr, "/commands", body, deadline)
         .await;
     match answer {
         Ok(answer) => match (answer.status, serde_json::from_slice(&answer.body)) {
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -33,6 +33,8 @@
 const LEAST_CHARGE: Duration = Duration::from_secs(60);
 /// A run time to reckon with where none is given.
 const LONG_RUN_S: f64 = 600.0;
+/// Probes that must go unanswered before a silent machine is given back.
+const PROBES_TO_ABANDON: u32 = 2;
 /// Names of machines that are gone are kept at least this long.
 const REMEMBER_GONE: Duration = Duration::from_secs(900);
 /// Pause before a rental or a deletion is tried again.
@@ -243,7 +245,10 @@
                 let taken = m.vanished || m.notice.is_some_and(|at| at <= now);
                 if taken && silence >= soon {
                     Some((m.id.clone(), "the cloud has taken it"))
-                } else if silence >= self.policy.abandon && !many {
+                } else if silence >= self.policy.abandon
+                    && m.unanswered >= PROBES_TO_ABANDON
+                    && !many
+                {
                     Some((m.id.clone(), "its worker is silent"))
                 } else if now > m.lease_over
                     && silence >= self.policy.worker_lease * if many { 4 } else { 1 }
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -187,6 +187,8 @@
     /// The batch of commands that is under way.
     pub command: Option<u64>,
     pub command_retry: Option<Instant>,
+    /// Batches of commands without an answer since it was last heard.
+    pub unanswered: u32,
 }
 
 impl Machine {
@@ -219,6 +221,7 @@
             vanished: false,
             command: None,
             command_retry: None,
+            unanswered: 0,
         }
     }
 
@@ -383,7 +386,7 @@
             .machines
             .values()
             .filter(|m| {
-                let quiet = m.silence(now) > self.policy.report * 2;
+                let quiet = m.silence(now) > self.policy.report.mul_f64(1.5);
                 (!m.synced || quiet)
                     && m.should_report()
                     && m.command.is_none()
@@ -449,6 +452,7 @@
             }
             CommandOutcome::NotSent | CommandOutcome::NoAnswer => {
                 machine.command_retry = Some(now + RETRY);
+                machine.unanswered += 1;
             }
         }
         self.restless = true;
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -71,6 +71,7 @@
         }
         machine.heard = Some(now);
         machine.vanished = false;
+        machine.unanswered = 0;
         let new_session = machine.session != Some(report.session);
         let had_session = machine.session.is_some();
         machine.session = Some(report.session);
