--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -5,7 +5,7 @@
 
 use super::fleet::Bin;
 use super::placement::allowed;
-use super::{Machine, Shard};
+use super::{Machine, Phase, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::users::JobKind;
 
@@ -31,11 +31,68 @@
                         machine.draining = true;
                     }
                     self.move_one_service(&id);
+                } else if self.policy.holds_capacity() {
+                    self.bring_one_near(bins);
                 }
             }
         }
     }
 
+    /// Moves a service to the main zone, where a controller hears it through
+    /// a cut, if a machine with its image has room there.
+    fn bring_one_near(&mut self, bins: &[Bin]) {
+        let Some(main) = &self.main_zone else {
+            return;
+        };
+        let restless = self.machines.values().any(|machine| {
+            machine.attempts.values().any(|a| {
+                is_standing(a) && !a.ended() && (a.stop.is_some() || a.phase != Phase::Running)
+            })
+        });
+        if restless {
+            return;
+        }
+        let far = self
+            .machines
+            .values()
+            .filter(|m| m.zone != *main && m.synced && !m.deleting)
+            .find_map(|machine| {
+                let (key, _) = machine.attempts.iter().find(|(_, attempt)| {
+                    let Some(spec) = attempt.spec.as_ref() else {
+                        return false;
+                    };
+                    is_standing(attempt)
+                        && !attempt.ended()
+                        && spec.tasks == 1
+                        && bins.iter().any(|bin| {
+                            bin.zone == *main
+                                && bin.free.fits(spec) > 0
+                                && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+                                && self.is_open_holder(bin, &spec.image)
+                        })
+                })?;
+                Some((machine.id.clone(), key.clone()))
+            });
+        if let Some((id, key)) = far
+            && let Some(attempt) = self
+                .machines
+                .get_mut(&id)
+                .and_then(|m| m.attempts.get_mut(&key))
+        {
+            attempt.want_stop(Duration::ZERO);
+            self.restless = true;
+        }
+    }
+
+    fn is_open_holder(&self, bin: &Bin, image: &str) -> bool {
+        bin.rank < 2
+            && bin
+                .machine
+                .as_ref()
+                .and_then(|id| self.machines.get(id))
+                .is_some_and(|m| m.has_image(image) && !m.draining)
+    }
+
     /// Opens the machine being emptied again; false if there was none.
     pub(super) fn stop_draining(&mut self) -> bool {
         let mut any = false;
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Whether machines are kept for guarantees whatever runs on them.
+    pub fn holds_capacity(&self) -> bool {
+        self.teams.values().any(|team| team.cores > 0.0)
+    }
+
     /// How long after our last answer left a worker's lease has surely ended:
     /// its own clock may run slow, and ours fast.
     pub fn lease_surely_over(&self) -> Duration {
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -272,6 +272,10 @@
         };
         let per_zone = spec.tasks.div_ceil(2);
         let avoid = job.failed_on.len() < slots.len();
+        // Where capacity is held for guarantees anyway, services are spread, so
+        // that losing a machine stops few of them; elsewhere they are packed,
+        // so that machines can be given back.
+        let spread = spec.kind == JobKind::Standing && self.policy.holds_capacity();
         // Services stay where a controller hears them through a cut.
         let far = |slot: &Slot| {
             spec.kind == JobKind::Standing
@@ -292,14 +296,13 @@
             })
             .min_by(|(_, a), (_, b)| {
                 let image = |slot: &Slot| {
-                    let holds = self
-                        .machines
-                        .get(&slot.id)
-                        .is_some_and(|m| holds_image(m, &spec.image));
+                    let holds = self.machines.get(&slot.id).is_some_and(|m| {
+                        m.has_image(&spec.image) || (!spread && fetches_image(m, &spec.image))
+                    });
                     !holds
                 };
                 let (lacks_a, lacks_b) = (image(a), image(b));
-                let room = if lacks_a {
+                let room = if lacks_a || spread {
                     b.free.cores.total_cmp(&a.free.cores)
                 } else {
                     a.free.cores.total_cmp(&b.free.cores)
@@ -360,13 +363,12 @@
     }
 }
 
-/// Whether a machine holds an image or is fetching it.
-fn holds_image(machine: &Machine, image: &str) -> bool {
-    machine.has_image(image)
-        || machine
-            .attempts
-            .values()
-            .any(|a| !a.ended() && a.spec.as_ref().is_some_and(|spec| spec.image == image))
+/// Whether a machine fetches an image, or is about to.
+fn fetches_image(machine: &Machine, image: &str) -> bool {
+    machine
+        .attempts
+        .values()
+        .any(|a| !a.ended() && a.spec.as_ref().is_some_and(|spec| spec.image == image))
 }
 
 /// Time of day in milliseconds.
