--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -272,10 +272,10 @@
         };
         let per_zone = spec.tasks.div_ceil(2);
         let avoid = job.failed_on.len() < slots.len();
-        // Where capacity is held for guarantees anyway, services are spread, so
-        // that losing a machine stops few of them; elsewhere they are packed,
-        // so that machines can be given back.
-        let spread = spec.kind == JobKind::Standing && self.policy.holds_capacity();
+        // Where capacity is held for guarantees anyway, work is spread, so that
+        // losing a machine stops little and images are held in many places;
+        // elsewhere it is packed, so that machines can be given back.
+        let spread = self.policy.holds_capacity();
         // Services stay where a controller hears them through a cut.
         let far = |slot: &Slot| {
             spec.kind == JobKind::Standing
