--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -4,12 +4,16 @@
 
 use super::placement::{Slot, Usage, allowed};
 use super::{Attempt, Job, Shard};
-use crate::protocol::users::JobSpec;
+use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
 /// Attempts on one machine.
 type Victims = Vec<(TaskId, u64)>;
 
+/// What a stopped service is reckoned to lose.
+const SERVICE_HARM: Duration = Duration::from_secs(3600);
+/// Tasks that started less than this ago are rather left to run.
+const YOUNG: Duration = Duration::from_secs(30);
 /// Jobs looked at in one pass.
 const MOST_JOBS: usize = 8;
 
@@ -24,6 +28,10 @@
             };
             let spec = job.spec.clone();
             if !self.within_limit(&usage, &spec) {
+                // Its team's own lesser work may hold the whole limit.
+                if let Some((machine, key)) = self.lesser_of_team(&spec, now) {
+                    self.stop_for_room(&machine, &key);
+                }
                 continue;
             }
             let guaranteed = self.within_guarantee(&usage, &spec);
@@ -68,16 +76,16 @@
                 if attempt.stop.is_some() {
                     free.give(other);
                 } else if self.may_stop(spec, other, guaranteed, usage) {
-                    candidates.push((attempt.work_at_risk(now), key, attempt));
+                    candidates.push((other.priority, harm(attempt, now), key, attempt));
                 }
             }
             if free.fits(spec) > 0 {
                 return Some((slot.id.clone(), Vec::new()));
             }
-            candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.cmp(b.1)));
+            candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
             let mut cost = Duration::ZERO;
             let mut victims = Vec::new();
-            for (lost, key, attempt) in candidates {
+            for (_, lost, key, attempt) in candidates {
                 if free.fits(spec) > 0 {
                     break;
                 }
@@ -94,6 +102,33 @@
         best.map(|(_, machine, victims)| (machine, victims))
     }
 
+    /// The cheapest task of lower priority of the same team, unless one is
+    /// being stopped already.
+    fn lesser_of_team(&self, spec: &JobSpec, now: Instant) -> Option<(MachineId, (TaskId, u64))> {
+        let mut best: Option<(Priority, Duration, &MachineId, &(TaskId, u64))> = None;
+        for machine in self.machines.values() {
+            for (key, attempt) in machine.attempts.iter().filter(|(_, a)| !a.ended()) {
+                let Some(other) = &attempt.spec else {
+                    continue;
+                };
+                if other.team != spec.team || other.priority >= spec.priority {
+                    continue;
+                }
+                if attempt.stop.is_some() {
+                    return None;
+                }
+                let cost = (other.priority, harm(attempt, now));
+                if best
+                    .as_ref()
+                    .is_none_or(|(priority, harm, ..)| cost < (*priority, *harm))
+                {
+                    best = Some((cost.0, cost.1, &machine.id, key));
+                }
+            }
+        }
+        best.map(|(_, _, machine, key)| (machine.clone(), key.clone()))
+    }
+
     /// PROTOCOL's "Preemption": lower priority gives way, and what a team runs
     /// beyond its guarantee gives way to another team's guarantee.
     fn may_stop(&self, spec: &JobSpec, other: &JobSpec, guaranteed: bool, usage: &Usage) -> bool {
@@ -120,6 +155,19 @@
     }
 }
 
+/// How much stopping an attempt now would hurt.
+fn harm(attempt: &Attempt, now: Instant) -> Duration {
+    let Some(spec) = &attempt.spec else {
+        return Duration::ZERO;
+    };
+    if spec.kind == JobKind::Standing {
+        return SERVICE_HARM;
+    }
+    // A start that is soon undone helped nobody.
+    let young = now.saturating_duration_since(attempt.since) < YOUNG;
+    attempt.work_at_risk(now) + if young { YOUNG } else { Duration::ZERO }
+}
+
 /// Time to save, for a task that can.
 fn grace(attempt: &Attempt) -> Duration {
     match &attempt.spec {
