--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -7,9 +7,9 @@
 use super::machines::Amounts;
 use super::placement::allowed;
 use super::{Action, Job, Machine, Shard};
-use crate::protocol::MachineId;
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
+use crate::protocol::{JobId, MachineId};
 
 /// Most machines in one rental request.
 const MOST_PER_RENTAL: u32 = 50;
@@ -94,9 +94,23 @@
     next_booking: u64,
     last_plan: Option<Instant>,
     classes: BTreeMap<String, ClassHistory>,
+    /// Tasks of jobs that would start too late if they waited for cheap room.
+    urgent: HashMap<JobId, u32>,
 }
 
 impl Fleet {
+    /// Whether a job has tasks that are worth a costly place.
+    pub fn is_urgent(&self, job: &JobId) -> bool {
+        self.urgent.get(job).is_some_and(|count| *count > 0)
+    }
+
+    /// A task of a job got a costly place.
+    pub fn urgent_placed(&mut self, job: &JobId) {
+        if let Some(count) = self.urgent.get_mut(job) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Remembers a job that was accepted at a moment not long before `now`.
     pub fn note_arrival(&mut self, spec: &JobSpec, at: Instant, now: Instant) {
         let history = self
@@ -129,6 +143,8 @@
     pub free: Amounts,
     /// Batch tasks on it, lowest priority first.
     yielding: Vec<Yielding>,
+    /// Kept for batch work alone, at the full price.
+    costly: bool,
     pub used: bool,
     /// Sort: busy machines, idle ones, those that are yet to come.
     pub rank: u8,
@@ -438,7 +454,8 @@
                 if left == 0 {
                     break;
                 }
-                if !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
+                let too_costly = bin.costly && demand.offers == Offers::SpotOnly;
+                if too_costly || !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
                 bin.make_room(&demand.spec, left);
@@ -467,6 +484,15 @@
                     free.take(&demand.spec);
                 }
                 left -= n;
+                tracing::debug!(
+                    class = demand.spec.class,
+                    left,
+                    slack_s = demand.slack_s,
+                    machine_type = offer.kind.name,
+                    zone = offer.zone,
+                    spot = offer.spot,
+                    "a machine is wanted"
+                );
                 let key = (offer.kind.name.clone(), offer.zone.clone(), offer.spot);
                 *wanted.entry(key).or_default() += 1;
                 bins.push(Bin {
@@ -476,6 +502,7 @@
                     spot: offer.spot,
                     free,
                     yielding: Vec::new(),
+                    costly: !offer.spot,
                     used: true,
                     rank: 2,
                 });
@@ -522,6 +549,23 @@
         );
     }
 
+    /// Whether a machine is there for batch work alone and not cheap: work that
+    /// can wait leaves it, so that it can be given back. What is paid for in
+    /// any case is not costly.
+    pub(super) fn costly(&self, machine: &Machine, now: Instant) -> bool {
+        let paid = now.saturating_duration_since(machine.rented) < LEAST_CHARGE / 2;
+        !machine.spot
+            && !paid
+            && !self.policy.holds_capacity()
+            && !machine.attempts.values().any(|attempt| {
+                !attempt.ended()
+                    && attempt
+                        .spec
+                        .as_ref()
+                        .is_some_and(|spec| spec.kind == JobKind::Standing)
+            })
+    }
+
     fn bins(&self, now: Instant) -> Vec<Bin> {
         let mut bins = Vec::new();
         for machine in self.machines.values() {
@@ -552,6 +596,7 @@
                 spot: machine.spot,
                 free: machine.free(kind),
                 yielding: yielding(machine),
+                costly: self.costly(machine, now),
                 used: false,
                 rank: match (coming, machine.busy()) {
                     (false, true) => 0,
@@ -571,6 +616,7 @@
                         spot: rental.spot,
                         free: Amounts::of_type(kind),
                         yielding: Vec::new(),
+                        costly: !rental.spot,
                         used: false,
                         rank: 2,
                     });
@@ -587,8 +633,9 @@
     }
 
     /// What waits, what is likely to come, and what is guaranteed.
-    fn demands(&self, bins: &[Bin], now: Instant) -> Vec<Demand> {
+    fn demands(&mut self, bins: &[Bin], now: Instant) -> Vec<Demand> {
         let mut demands = Vec::new();
+        let mut urgent_tasks = HashMap::new();
         let wall = super::placement::wall_ms();
         let mut usage = self.usage();
         let mut jobs: Vec<_> = self
@@ -612,6 +659,7 @@
                 count += 1;
             }
             let urgent = self.urgent(job, count, &mut queued, bins, wall);
+            urgent_tasks.insert(job.id.clone(), urgent);
             for (count, offers) in [(urgent, Offers::Any), (count - urgent, Offers::SpotOnly)] {
                 if count > 0 {
                     demands.push(Demand {
@@ -626,6 +674,7 @@
         }
         self.foreseen(&mut demands, now);
         self.guaranteed(&mut demands);
+        self.fleet.urgent = urgent_tasks;
         demands
     }
 
@@ -640,7 +689,7 @@
         let run = spec.duration_s * ESTIMATE_MARGIN;
         let room: f64 = bins
             .iter()
-            .filter(|bin| allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
+            .filter(|bin| !bin.costly && allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
             .map(|bin| {
                 let running: f64 = bin
                     .yielding
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -20,6 +20,8 @@
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
+    /// Kept for batch work alone, at the full price.
+    pub costly: bool,
     pub free: Amounts,
 }
 
@@ -137,6 +139,7 @@
                     machine_type: m.machine_type.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
+                    costly: self.costly(m, now),
                     free: m.free(kind),
                 })
             })
@@ -251,6 +254,9 @@
                 break;
             };
             slots[at].free.take(&spec);
+            if slots[at].costly {
+                self.fleet.urgent_placed(id);
+            }
             usage.add(&spec);
             self.launch(id, index, &machine, now);
             placed += 1;
@@ -290,6 +296,7 @@
             .filter(|(_, slot)| {
                 allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                     && slot.free.fits(spec) > 0
+                    && self.worth_it(job, slot)
                     && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
                     && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
                     && !(avoid && job.failed_on.contains(&slot.id))
@@ -317,6 +324,14 @@
             .map(|(at, _)| at)
     }
 
+    /// Work that may run on spot machines and has time waits for them.
+    pub(super) fn worth_it(&self, job: &Job, slot: &Slot) -> bool {
+        !slot.costly
+            || !job.spec.spot
+            || job.spec.kind == JobKind::Standing
+            || self.fleet.is_urgent(&job.id)
+    }
+
     /// How many tasks of a job may exist in each zone.
     pub(super) fn live_zones(&self, job: &Job) -> BTreeMap<String, u32> {
         let mut zones = BTreeMap::new();
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -63,7 +63,10 @@
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
                 && (!spec.scatter
                     || zones.get(&slot.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2));
-            if !zone_ok || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot) {
+            if !zone_ok
+                || !self.worth_it(job, slot)
+                || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+            {
                 continue;
             }
             let machine = self.machines.get(&slot.id)?;
