--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -279,3 +279,6 @@
         &self.jobs
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/shard/tests/world.rs
@@ -0,0 +1,1073 @@
+//! A stand-in for everything around a shard: state service, cloud, workers
+//! and users, with the published semantics and a network that delays, holds
+//! and loses messages. It checks the rules at every step.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+
+use crate::coordination::shard::{
+    Action, CommandOutcome, Fact, Loaded, LoadedMachine, Policy, RentalOutcome, ReportOutcome,
+    Shard, ShardWrite, TeamPolicy,
+};
+use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
+use crate::protocol::users::{JobKind, JobSpec, Priority, Stage};
+use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
+use crate::protocol::{MachineId, TaskId};
+use crate::storage::keys;
+use crate::storage::records::{FinalRecord, JobRecord, VERSION};
+
+pub const LEASE: Duration = Duration::from_secs(27);
+pub const CANCEL: Duration = Duration::from_secs(52);
+pub const STEP: Duration = Duration::from_millis(100);
+
+pub fn spec(team: &str, cores: f64, tasks: u32) -> JobSpec {
+    JobSpec {
+        class: "sums".into(),
+        team: team.into(),
+        kind: JobKind::Batch,
+        priority: Priority::Standard,
+        tasks,
+        cores,
+        accelerators: 0.0,
+        mem_gb: 1.0,
+        image: "img-0".into(),
+        image_gb: 1.0,
+        machine_types: None,
+        zone: None,
+        one_zone: false,
+        scatter: false,
+        spot: true,
+        duration_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+pub fn record(spec: JobSpec) -> JobRecord {
+    JobRecord {
+        v: VERSION,
+        at_ms: 0,
+        spec,
+    }
+}
+
+pub fn machine_types() -> Vec<MachineType> {
+    vec![MachineType {
+        name: "m8".into(),
+        cores: 8.0,
+        accelerators: 0.0,
+        mem_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: Some(0.3),
+        startup_s: 10.0,
+        zones: vec!["north".into(), "south".into()],
+    }]
+}
+
+pub fn policy() -> Policy {
+    let team = |cores, cores_max| TeamPolicy {
+        cores,
+        cores_max,
+        ..TeamPolicy::default()
+    };
+    Policy {
+        label: "n0".into(),
+        zones: vec!["north".into(), "south".into()],
+        teams: [
+            ("red".to_owned(), team(8.0, 16.0)),
+            ("blue".to_owned(), team(0.0, 0.0)),
+        ]
+        .into(),
+        wait_within: HashMap::new(),
+        finish_within: HashMap::new(),
+        report: Duration::from_secs(3),
+        worker_lease: LEASE,
+        list_lag: Duration::from_secs(3),
+        txn_ops: 8,
+        value_bytes: 8192,
+        snapshot: Duration::from_secs(3),
+        staleness: Duration::from_secs(15),
+        snapshot_writes_per_s: 10.0,
+        suspect: Duration::from_secs(6),
+        abandon: Duration::from_secs(7),
+        headroom: 0.1,
+        idle: Duration::from_secs(10),
+        refused: Duration::from_secs(15),
+    }
+}
+
+#[derive(Debug, Clone)]
+struct WorkerTask {
+    state: TaskState,
+    ending: Option<Ending>,
+    fetched: Instant,
+    ends: Instant,
+}
+
+#[derive(Debug)]
+struct Worker {
+    id: String,
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    term: u64,
+    /// When the last report that was answered left, or the session began.
+    answered_sent: Instant,
+    next_report: Instant,
+    tasks: BTreeMap<(TaskId, u64), WorkerTask>,
+    /// Everything to and from it is held until then.
+    cut_until: Option<Instant>,
+    /// It does nothing until then.
+    hang_until: Option<Instant>,
+    dead: bool,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            term: self.term,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, take), state)| TaskReport {
+                    task: task.clone(),
+                    attempt: *take,
+                    state: state.state,
+                    ending: state.ending,
+                })
+                .collect(),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Report {
+        sent: Instant,
+        report: Report,
+    },
+    Answer {
+        machine: String,
+        sent: Instant,
+        session: u64,
+        term: u64,
+        commands: Vec<Command>,
+    },
+    Commands {
+        /// The owner's run that waits for the answer.
+        owner: u64,
+        machine: String,
+        number: u64,
+        term: u64,
+        session: u64,
+        commands: Vec<Command>,
+    },
+    CommandAnswer {
+        owner: u64,
+        machine: String,
+        number: u64,
+        commands: Vec<Command>,
+        outcome: CommandOutcome,
+    },
+    Write {
+        owner: u64,
+        term: u64,
+        write: ShardWrite,
+    },
+    Written {
+        owner: u64,
+        write: ShardWrite,
+    },
+    Finish {
+        term: u64,
+        job: String,
+        mark: u64,
+    },
+    JobOver {
+        job: String,
+        stage: Stage,
+    },
+    Rent {
+        owner: u64,
+        rental: Rental,
+    },
+    Rented {
+        owner: u64,
+        request: String,
+        outcome: RentalOutcome,
+    },
+    Boot {
+        id: String,
+        zone: String,
+        spot: bool,
+    },
+    Delete {
+        owner: u64,
+        machines: Vec<MachineId>,
+    },
+    Deleted {
+        owner: u64,
+        machines: Vec<MachineId>,
+    },
+}
+
+/// The present owner; its run number tells it from earlier ones.
+struct Owner {
+    run: u64,
+    shard: Shard,
+}
+
+/// The world.
+pub struct World {
+    pub now: Instant,
+    pub rng: StdRng,
+    /// Odds of trouble for each message.
+    pub loss: f64,
+    pub late: f64,
+    queue: BTreeMap<(Instant, u64), Message>,
+    next_message: u64,
+    owner: Option<Owner>,
+    owner_run: u64,
+    revision: u64,
+    term: u64,
+    jobs: BTreeMap<String, (u64, JobRecord)>,
+    finals: BTreeMap<String, FinalRecord>,
+    cancelled: BTreeMap<String, Instant>,
+    specs: BTreeMap<String, Arc<JobSpec>>,
+    roster: BTreeMap<String, crate::storage::records::RosterRecord>,
+    chunks: BTreeMap<String, Value>,
+    bookings: BTreeMap<String, crate::storage::records::BookingRecord>,
+    rented: BTreeMap<String, Vec<String>>,
+    next_machine: u64,
+    workers: BTreeMap<String, Worker>,
+    /// Tasks that have truly been completed.
+    done: BTreeSet<TaskId>,
+    limits: HashMap<String, f64>,
+    pub broken: Vec<String>,
+    pub starts: usize,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let policy = policy();
+        Self {
+            now: Instant::now(),
+            rng: StdRng::seed_from_u64(seed),
+            loss: 0.02,
+            late: 0.02,
+            queue: BTreeMap::new(),
+            next_message: 0,
+            owner: None,
+            owner_run: 0,
+            revision: 0,
+            term: 0,
+            jobs: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            roster: BTreeMap::new(),
+            chunks: BTreeMap::new(),
+            bookings: BTreeMap::new(),
+            rented: BTreeMap::new(),
+            next_machine: 0,
+            workers: BTreeMap::new(),
+            done: BTreeSet::new(),
+            limits: policy
+                .teams
+                .iter()
+                .map(|(name, team)| (name.clone(), team.cores_max))
+                .collect(),
+            broken: Vec::new(),
+            starts: 0,
+        }
+    }
+
+    fn broke(&mut self, rule: &str, what: impl std::fmt::Display) {
+        self.broken.push(format!("{rule}: {what}"));
+    }
+
+    // --- users
+
+    pub fn submit(&mut self, id: &str, spec: JobSpec) {
+        self.revision += 1;
+        let record = record(spec);
+        self.specs
+            .insert(id.to_owned(), Arc::new(record.spec.clone()));
+        self.jobs
+            .insert(id.to_owned(), (self.revision, record.clone()));
+        let (mark, now) = (self.revision, self.now);
+        self.tell(|shard| shard.job_put(id, mark, record, now));
+    }
+
+    pub fn cancel(&mut self, id: &str) {
+        let Some((_, record)) = self.jobs.remove(id) else {
+            return;
+        };
+        self.revision += 1;
+        self.finals.insert(
+            id.to_owned(),
+            FinalRecord {
+                v: VERSION,
+                stage: Stage::Cancelled,
+                tasks: record.spec.tasks,
+                spec: record.spec,
+            },
+        );
+        self.cancelled.insert(id.to_owned(), self.now);
+        self.send(Message::JobOver {
+            job: id.to_owned(),
+            stage: Stage::Cancelled,
+        });
+    }
+
+    pub fn open_jobs(&self) -> Vec<String> {
+        self.jobs.keys().cloned().collect()
+    }
+
+    // --- controllers
+
+    /// A new owner takes over; the old one is gone, its messages are not.
+    pub fn take_over(&mut self) {
+        self.revision += 1;
+        self.term = self.revision;
+        self.owner_run += 1;
+        let loaded = Loaded {
+            jobs: self
+                .jobs
+                .iter()
+                .map(|(id, (mark, record))| (id.clone(), *mark, record.clone()))
+                .collect(),
+            roster: self
+                .roster
+                .iter()
+                .map(|(id, record)| LoadedMachine {
+                    id: id.clone(),
+                    record: record.clone(),
+                })
+                .collect(),
+            chunks: self.chunks.clone(),
+            bookings: self.bookings.values().cloned().collect(),
+        };
+        let mut shard = Shard::take_over(policy(), self.term, loaded, self.now);
+        shard.set_types(&machine_types());
+        self.owner = Some(Owner {
+            run: self.owner_run,
+            shard,
+        });
+        self.act();
+    }
+
+    pub fn crash_owner(&mut self) {
+        self.owner = None;
+    }
+
+    fn tell(&mut self, event: impl FnOnce(&mut Shard)) {
+        let now = self.now;
+        if let Some(owner) = &mut self.owner {
+            event(&mut owner.shard);
+            owner.shard.settle(now);
+        }
+        self.act();
+    }
+
+    fn act(&mut self) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        let (run, term) = (owner.run, owner.shard.term);
+        for action in owner.shard.take_actions() {
+            match action {
+                Action::Command {
+                    machine,
+                    session,
+                    number,
+                    commands,
+                    ..
+                } => {
+                    let machine = machine.to_string();
+                    let lost = self.rng.random_bool(self.loss);
+                    if lost {
+                        self.later(
+                            Duration::from_secs(2),
+                            Message::CommandAnswer {
+                                owner: run,
+                                machine,
+                                number,
+                                commands,
+                                outcome: CommandOutcome::NoAnswer,
+                            },
+                        );
+                        continue;
+                    }
+                    self.send(Message::Commands {
+                        owner: run,
+                        machine,
+                        number,
+                        term,
+                        session,
+                        commands,
+                    });
+                }
+                Action::Write(write) => self.send(Message::Write {
+                    owner: run,
+                    term,
+                    write,
+                }),
+                Action::Finish { job, mark } => self.send(Message::Finish {
+                    term,
+                    job: job.to_string(),
+                    mark,
+                }),
+                Action::ReadFinal { job } => {
+                    let record = self.finals.get(&*job).cloned();
+                    let now = self.now;
+                    if let Some(owner) = &mut self.owner {
+                        owner.shard.orphan_read(&job, record);
+                        owner.shard.settle(now);
+                    }
+                    self.act();
+                }
+                Action::Rent(rental) => self.send(Message::Rent { owner: run, rental }),
+                Action::Delete(machines) => self.send(Message::Delete {
+                    owner: run,
+                    machines,
+                }),
+                Action::Fenced { .. } => {}
+            }
+        }
+    }
+
+    // --- network
+
+    fn later(&mut self, delay: Duration, message: Message) {
+        self.next_message += 1;
+        self.queue
+            .insert((self.now + delay, self.next_message), message);
+    }
+
+    fn send(&mut self, message: Message) {
+        let mut delay = Duration::from_millis(self.rng.random_range(1..60));
+        // A watch that hangs is soon given up and taken up again.
+        let watched = matches!(message, Message::JobOver { .. });
+        if watched && self.rng.random_bool(self.late) {
+            delay += Duration::from_millis(self.rng.random_range(500..5_000));
+        } else if self.rng.random_bool(self.late) {
+            delay += Duration::from_millis(self.rng.random_range(500..90_000));
+        }
+        let machine = match &message {
+            Message::Commands { machine, .. } | Message::Answer { machine, .. } => Some(machine),
+            Message::Report { report, .. } => Some(&report.machine),
+            _ => None,
+        };
+        if let Some(until) = machine
+            .and_then(|id| self.workers.get(id))
+            .and_then(|worker| worker.cut_until)
+        {
+            delay += until.saturating_duration_since(self.now);
+        }
+        // The sender gives up waiting long before a late message arrives.
+        if let Message::Commands {
+            owner,
+            machine,
+            number,
+            commands,
+            ..
+        } = &message
+            && delay > Duration::from_secs(2)
+        {
+            let gave_up = Message::CommandAnswer {
+                owner: *owner,
+                machine: machine.clone(),
+                number: *number,
+                commands: commands.clone(),
+                outcome: CommandOutcome::NoAnswer,
+            };
+            self.later(Duration::from_secs(2), gave_up);
+        }
+        self.later(delay, message);
+    }
+
+    fn to_owner(&mut self, run: u64, event: impl FnOnce(&mut Shard)) {
+        if self.owner.as_ref().is_some_and(|owner| owner.run == run) {
+            self.tell(event);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = self.now;
+        match message {
+            Message::Report { sent, report } => {
+                let machine = report.machine.clone();
+                let session = report.session;
+                let mut answer = None;
+                self.tell(|shard| {
+                    if let ReportOutcome::Answer(commands) = shard.report(&report, now) {
+                        answer = Some((shard.term, commands));
+                    }
+                });
+                if let Some((term, commands)) = answer {
+                    self.send(Message::Answer {
+                        machine,
+                        sent,
+                        session,
+                        term,
+                        commands,
+                    });
+                }
+            }
+            Message::Answer {
+                machine,
+                sent,
+                session,
+                term,
+                commands,
+            } => {
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                let late = now - sent > Duration::from_secs(4);
+                if worker.dead || late || worker.session != session || term < worker.term {
+                    return;
+                }
+                worker.term = term;
+                worker.answered_sent = worker.answered_sent.max(sent);
+                self.execute(&machine, &commands);
+            }
+            Message::Commands {
+                owner,
+                machine,
+                number,
+                term,
+                session,
+                commands,
+            } => {
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                if worker.dead {
+                    return;
+                }
+                if let Some(until) = worker.hang_until {
+                    let wait = until.saturating_duration_since(now) + STEP;
+                    self.later(
+                        wait,
+                        Message::Commands {
+                            owner,
+                            machine,
+                            number,
+                            term,
+                            session,
+                            commands,
+                        },
+                    );
+                    return;
+                }
+                let taken = term >= worker.term && session == worker.session;
+                if taken {
+                    worker.term = term;
+                    self.execute(&machine, &commands);
+                }
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                let report = worker.report();
+                let outcome = if taken {
+                    CommandOutcome::Executed(report)
+                } else {
+                    CommandOutcome::Refused(report)
+                };
+                if !self.rng.random_bool(self.loss) {
+                    self.send(Message::CommandAnswer {
+                        owner,
+                        machine,
+                        number,
+                        commands,
+                        outcome,
+                    });
+                } else {
+                    self.later(
+                        Duration::from_secs(2),
+                        Message::CommandAnswer {
+                            owner,
+                            machine,
+                            number,
+                            commands,
+                            outcome: CommandOutcome::NoAnswer,
+                        },
+                    );
+                }
+            }
+            Message::CommandAnswer {
+                owner,
+                machine,
+                number,
+                commands,
+                outcome,
+            } => {
+                let id: MachineId = machine.as_str().into();
+                self.to_owner(owner, |shard| {
+                    // Only the first answer counts: the caller has gone on.
+                    if shard
+                        .machines()
+                        .get(&id)
+                        .is_some_and(|m| m.command == Some(number))
+                    {
+                        shard.command_answered(&id, number, &commands, outcome, now);
+                    }
+                });
+            }
+            Message::Write { owner, term, write } => {
+                // Guarded by the ownership record, however late it comes.
+                if term != self.term {
+                    return;
+                }
+                self.revision += 1;
+                for (fact, change) in write.facts.iter().zip(&write.changes) {
+                    self.apply(fact, change);
+                }
+                self.send(Message::Written { owner, write });
+            }
+            Message::Written { owner, write } => {
+                self.to_owner(owner, |shard| shard.shard_written(&write, now));
+            }
+            Message::Finish { term, job, mark } => {
+                let same = self.jobs.get(&job).is_some_and(|(at, _)| *at == mark);
+                if term != self.term || !same {
+                    return;
+                }
+                let Some((_, record)) = self.jobs.remove(&job) else {
+                    return;
+                };
+                let id: Arc<str> = job.as_str().into();
+                let missing = (0..record.spec.tasks).any(|index| {
+                    !self.done.contains(&TaskId {
+                        job: id.clone(),
+                        index,
+                    })
+                });
+                if missing {
+                    self.broke("not_done", &job);
+                }
+                self.revision += 1;
+                self.finals.insert(
+                    job.clone(),
+                    FinalRecord {
+                        v: VERSION,
+                        stage: Stage::Done,
+                        tasks: record.spec.tasks,
+                        spec: record.spec,
+                    },
+                );
+                self.send(Message::JobOver {
+                    job,
+                    stage: Stage::Done,
+                });
+            }
+            Message::JobOver { job, stage } => {
+                self.tell(|shard| shard.job_gone(&job, Some(stage), now));
+            }
+            Message::Rent { owner, rental } => {
+                let known = self.rented.get(&rental.request).cloned();
+                let names = match known {
+                    Some(names) => names,
+                    None => {
+                        let room = 6_usize.saturating_sub(self.workers.len());
+                        let names: Vec<String> = (0..rental.count.min(room as u32))
+                            .map(|_| {
+                                self.next_machine += 1;
+                                format!("vm-{:06}", self.next_machine)
+                            })
+                            .collect();
+                        for id in &names {
+                            let boot = Duration::from_millis(self.rng.random_range(1000..15_000));
+                            self.later(
+                                boot,
+                                Message::Boot {
+                                    id: id.clone(),
+                                    zone: rental.zone.clone(),
+                                    spot: rental.spot,
+                                },
+                            );
+                        }
+                        if !names.is_empty() {
+                            self.rented.insert(rental.request.clone(), names.clone());
+                        }
+                        names
+                    }
+                };
+                let outcome = if self.rng.random_bool(self.loss) {
+                    RentalOutcome::Unknown
+                } else if names.is_empty() {
+                    RentalOutcome::NoCapacity
+                } else {
+                    RentalOutcome::Rented(names)
+                };
+                self.send(Message::Rented {
+                    owner,
+                    request: rental.request,
+                    outcome,
+                });
+            }
+            Message::Rented {
+                owner,
+                request,
+                outcome,
+            } => self.to_owner(owner, |shard| shard.rental_answered(&request, outcome, now)),
+            Message::Boot { id, zone, spot } => self.boot(&id, &zone, spot),
+            Message::Delete { owner, machines } => {
+                for id in &machines {
+                    self.workers.remove(&**id);
+                }
+                self.send(Message::Deleted { owner, machines });
+            }
+            Message::Deleted { owner, machines } => {
+                self.to_owner(owner, |shard| shard.deletion_answered(&machines, true, now));
+            }
+        }
+    }
+
+    fn apply(&mut self, fact: &Fact, change: &crate::protocol::state::Change) {
+        use crate::protocol::state::Change;
+        let (key, value) = match change {
+            Change::Put { key, value, .. } => (key.clone(), Some(value.clone())),
+            Change::Delete { key } => (key.clone(), None),
+        };
+        match fact {
+            Fact::Chunk(..) => match value {
+                Some(value) => {
+                    self.chunks.insert(key, value);
+                }
+                None => {
+                    self.chunks.remove(&key);
+                }
+            },
+            Fact::Admit(id) | Fact::Return(id) | Fact::Forget(id) => {
+                assert_eq!(key, keys::roster(id));
+                match value.and_then(|value| serde_json::from_value(value).ok()) {
+                    Some(record) => {
+                        self.roster.insert(id.to_string(), record);
+                    }
+                    None => {
+                        self.roster.remove(&**id);
+                    }
+                }
+            }
+            Fact::Book(rental) => {
+                if let Some(record) = value.and_then(|value| serde_json::from_value(value).ok()) {
+                    self.bookings.insert(rental.request.clone(), record);
+                }
+            }
+            Fact::Unbook(request) => {
+                self.bookings.remove(request);
+            }
+        }
+    }
+
+    // --- cloud and workers
+
+    pub fn boot(&mut self, id: &str, zone: &str, spot: bool) {
+        self.workers.insert(
+            id.to_owned(),
+            Worker {
+                id: id.to_owned(),
+                zone: zone.to_owned(),
+                spot,
+                session: 1,
+                seq: 0,
+                term: 0,
+                answered_sent: self.now,
+                next_report: self.now,
+                tasks: BTreeMap::new(),
+                cut_until: None,
+                hang_until: None,
+                dead: false,
+            },
+        );
+    }
+
+    pub fn machines(&self) -> Vec<String> {
+        self.workers.keys().cloned().collect()
+    }
+
+    pub fn cut(&mut self, id: &str, time: Duration) {
+        let until = self.now + time;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.cut_until = Some(until);
+        }
+    }
+
+    pub fn hang(&mut self, id: &str, time: Duration) {
+        let until = self.now + time;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.hang_until = Some(until);
+        }
+    }
+
+    pub fn kill(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.dead = true;
+            worker.tasks.clear();
+        }
+    }
+
+    pub fn list(&mut self) {
+        let list: Vec<Listed> = self
+            .workers
+            .values()
+            .map(|worker| Listed {
+                id: worker.id.clone(),
+                addr: "10.0.0.1:9000".into(),
+                machine_type: "m8".into(),
+                zone: worker.zone.clone(),
+                spot: worker.spot,
+                state: ListedState::Running,
+                age_s: 60.0,
+            })
+            .collect();
+        let now = self.now;
+        self.tell(|shard| shard.listed(&list, now));
+    }
+
+    fn execute(&mut self, machine: &str, commands: &[Command]) {
+        let now = self.now;
+        for command in commands {
+            let fetch = Duration::from_millis(self.rng.random_range(0..3000));
+            let run = Duration::from_millis(self.rng.random_range(2000..20_000));
+            let Some(worker) = self.workers.get_mut(machine) else {
+                return;
+            };
+            match command {
+                Command::Launch { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if worker.tasks.contains_key(&key) {
+                        continue;
+                    }
+                    let other = worker
+                        .tasks
+                        .iter()
+                        .any(|((t, _), s)| t == task && s.state != TaskState::Ended);
+                    let (state, ending) = if other {
+                        (TaskState::Ended, Some(Ending::Busy))
+                    } else {
+                        (TaskState::Fetching, None)
+                    };
+                    let state = WorkerTask {
+                        state,
+                        ending,
+                        fetched: now + fetch,
+                        ends: now + fetch + run,
+                    };
+                    worker.tasks.insert(key, state);
+                    worker.next_report = now;
+                }
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(state) = worker.tasks.get_mut(&(task.clone(), *attempt))
+                        && state.state != TaskState::Ended
+                    {
+                        state.state = TaskState::Ended;
+                        state.ending = Some(Ending::Stopped);
+                        worker.next_report = now;
+                    }
+                }
+                Command::Clear { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if worker
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|s| s.state == TaskState::Ended)
+                    {
+                        worker.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    fn run_workers(&mut self) {
+        let now = self.now;
+        let ids: Vec<String> = self.workers.keys().cloned().collect();
+        for id in ids {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            if worker.dead {
+                continue;
+            }
+            worker.cut_until = worker.cut_until.filter(|until| *until > now);
+            if worker.hang_until.is_some_and(|until| until > now) {
+                continue;
+            }
+            worker.hang_until = None;
+            if now - worker.answered_sent > LEASE {
+                worker.session += 1;
+                worker.seq = 0;
+                worker.answered_sent = now;
+                worker.tasks.clear();
+                worker.next_report = now;
+            }
+            let mut started = Vec::new();
+            for ((task, _), state) in &mut worker.tasks {
+                if state.state == TaskState::Fetching && state.fetched <= now {
+                    if self.done.contains(task) {
+                        state.state = TaskState::Ended;
+                        state.ending = Some(Ending::Done);
+                    } else {
+                        state.state = TaskState::Running;
+                        started.push(task.clone());
+                    }
+                    worker.next_report = now;
+                } else if state.state == TaskState::Running && state.ends <= now {
+                    let standing = self
+                        .specs
+                        .get(&*task.job)
+                        .is_some_and(|spec| spec.kind == JobKind::Standing);
+                    if !standing {
+                        state.state = TaskState::Ended;
+                        state.ending = Some(Ending::Done);
+                        self.done.insert(task.clone());
+                        worker.next_report = now;
+                    }
+                }
+            }
+            let due = worker.next_report <= now;
+            let report = due.then(|| worker.report());
+            if due {
+                worker.next_report = now + Duration::from_millis(self.rng.random_range(2250..3750));
+            }
+            if let Some(report) = report {
+                self.send(Message::Report { sent: now, report });
+            }
+            for task in started {
+                self.check_start(&task, &id);
+            }
+        }
+    }
+
+    fn on_machines(&self) -> Vec<(&TaskId, &Worker)> {
+        self.workers
+            .values()
+            .filter(|worker| !worker.dead)
+            .flat_map(|worker| {
+                worker
+                    .tasks
+                    .iter()
+                    .filter(|(_, s)| s.state == TaskState::Running)
+                    .map(move |((task, _), _)| (task, worker))
+            })
+            .collect()
+    }
+
+    fn check_start(&mut self, task: &TaskId, on: &str) {
+        self.starts += 1;
+        let running: Vec<(TaskId, String, String, bool)> = self
+            .on_machines()
+            .into_iter()
+            .map(|(t, w)| (t.clone(), w.id.clone(), w.zone.clone(), w.spot))
+            .collect();
+        if running.iter().filter(|(t, ..)| t == task).count() > 1 {
+            self.broke("ran_twice", task);
+        }
+        let Some(spec) = self.specs.get(&*task.job).cloned() else {
+            self.broke("invented", task);
+            return;
+        };
+        let limit = self.limits.get(&spec.team).copied().unwrap_or(0.0);
+        let used: f64 = running
+            .iter()
+            .filter_map(|(t, ..)| self.specs.get(&*t.job))
+            .filter(|other| other.team == spec.team)
+            .map(|other| other.cores)
+            .sum();
+        if limit > 0.0 && used > limit + 1e-6 {
+            self.broke("quota", format!("{task}: {used} of {limit}"));
+        }
+        let mine: Vec<_> = running.iter().filter(|(t, ..)| t.job == task.job).collect();
+        let Some((_, _, zone, spot)) = mine.iter().find(|(t, w, ..)| t == task && w == on) else {
+            return;
+        };
+        let here = mine.iter().filter(|(_, _, z, _)| z == zone).count() as u32;
+        let wrong = (*spot && !spec.spot)
+            || spec.zone.as_ref().is_some_and(|only| only != zone)
+            || (spec.one_zone && here as usize != mine.len())
+            || (spec.scatter && here > spec.tasks.div_ceil(2));
+        if wrong {
+            self.broke("wrong_place", task);
+        }
+    }
+
+    fn check_cancelled(&mut self) {
+        let late: Vec<TaskId> = self
+            .on_machines()
+            .into_iter()
+            .filter(|(task, _)| {
+                self.cancelled
+                    .get(&*task.job)
+                    .is_some_and(|at| self.now - *at > CANCEL)
+            })
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in late {
+            self.broke("ran_cancelled", task);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        let mut ticks = 0_u32;
+        while self.now < end {
+            self.now += STEP;
+            self.run_workers();
+            while let Some((&key, _)) = self.queue.first_key_value()
+                && key.0 <= self.now
+            {
+                if let Some(message) = self.queue.remove(&key) {
+                    self.deliver(message);
+                }
+            }
+            ticks += 1;
+            let now = self.now;
+            if ticks.is_multiple_of(2) {
+                self.tell(|shard| shard.tick(now));
+            }
+            if ticks.is_multiple_of(30) {
+                self.list();
+                self.check_cancelled();
+            }
+        }
+    }
+}
+
+impl World {
+    /// Cancels all services, which would never end; returns how many.
+    pub fn cancel_services(&mut self) -> usize {
+        let services: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, (_, record))| record.spec.kind == JobKind::Standing)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &services {
+            self.cancel(id);
+        }
+        services.len()
+    }
+}
