--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -1,1 +1,465 @@
+//! One failure at a time, each as it was found or feared.
 
+use std::time::{Duration, Instant};
+
+use super::world::{machine_types, policy, record, spec};
+use crate::coordination::shard::{
+    Action, CommandOutcome, Fact, Loaded, LoadedMachine, RentalOutcome, ReportOutcome, Shard,
+    ShardWrite,
+};
+use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
+use crate::protocol::{MachineId, TaskId};
+use crate::storage::records::{RosterRecord, VERSION};
+
+const TERM: u64 = 100;
+
+struct Script {
+    shard: Shard,
+    now: Instant,
+    seq: u64,
+    actions: Vec<Action>,
+}
+
+fn roster(id: &str) -> LoadedMachine {
+    LoadedMachine {
+        id: id.to_owned(),
+        record: RosterRecord {
+            v: VERSION,
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: "north".into(),
+            spot: false,
+            returning: false,
+        },
+    }
+}
+
+fn listed(task: &str, take: u64, state: TaskState, ending: Option<Ending>) -> TaskReport {
+    TaskReport {
+        task: TaskId::parse(task).expect("task id"),
+        attempt: take,
+        state,
+        ending,
+    }
+}
+
+impl Script {
+    fn new(loaded: Loaded) -> Self {
+        let now = Instant::now();
+        let mut shard = Shard::take_over(policy(), TERM, loaded, now);
+        shard.set_types(&machine_types());
+        let mut script = Self {
+            shard,
+            now,
+            seq: 0,
+            actions: Vec::new(),
+        };
+        script.settle();
+        script
+    }
+
+    /// Settles, and applies shard writes at once; other actions are kept.
+    fn settle(&mut self) {
+        self.shard.settle(self.now);
+        loop {
+            let actions = self.shard.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    Action::Write(write) => self.shard.shard_written(&write, self.now),
+                    other => self.actions.push(other),
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.shard.tick(self.now);
+        self.settle();
+    }
+
+    fn report_of(&mut self, id: &str, term: u64, tasks: Vec<TaskReport>) -> Report {
+        self.seq += 1;
+        Report {
+            machine: id.into(),
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: "north".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            term,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    fn report(&mut self, id: &str, tasks: Vec<TaskReport>) -> Vec<Command> {
+        let report = self.report_of(id, TERM, tasks);
+        let outcome = self.shard.report(&report, self.now);
+        self.settle();
+        match outcome {
+            ReportOutcome::Answer(commands) => commands,
+            ReportOutcome::Refuse => panic!("report refused"),
+        }
+    }
+
+    fn submit(&mut self, id: &str, spec: JobSpec) {
+        self.shard
+            .job_put(id, TERM + 1 + self.seq, record(spec), self.now);
+        self.settle();
+    }
+
+    /// The batches of commands decided since the last call.
+    fn batches(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = Vec::new();
+        self.actions.retain(|action| match action {
+            Action::Command {
+                machine,
+                number,
+                commands,
+                ..
+            } => {
+                batches.push((machine.clone(), *number, commands.clone()));
+                false
+            }
+            _ => true,
+        });
+        batches
+    }
+
+    /// The batches that launch something, as (machine, number, commands).
+    fn launches(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = self.batches();
+        batches.retain(|(_, _, commands)| {
+            commands
+                .iter()
+                .any(|command| matches!(command, Command::Launch { .. }))
+        });
+        batches
+    }
+
+    fn answered(&mut self, batch: &(MachineId, u64, Vec<Command>), outcome: CommandOutcome) {
+        self.shard
+            .command_answered(&batch.0, batch.1, &batch.2, outcome, self.now);
+        self.settle();
+    }
+}
+
+fn take_of(commands: &[Command]) -> u64 {
+    commands
+        .iter()
+        .find_map(|command| match command {
+            Command::Launch { attempt, .. } => Some(*attempt),
+            _ => None,
+        })
+        .expect("a launch")
+}
+
+#[test]
+fn a_machine_is_on_the_roster_before_it_gets_a_task() {
+    let mut script = Script::new(Loaded::default());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let report = script.report_of("vm-1", TERM, Vec::new());
+    script.shard.report(&report, script.now);
+    let actions = script.shard.take_actions();
+    let admit = actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Write(write) => Some(write.clone()),
+            _ => None,
+        })
+        .expect("the admission is written");
+    assert!(matches!(admit.facts[0], Fact::Admit(_)));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Command { .. })));
+    script.shard.shard_written(&admit, script.now);
+    script.settle();
+    assert_eq!(script.launches().len(), 1);
+}
+
+#[test]
+fn an_unanswered_launch_is_pinned_and_never_cleared() {
+    for (outcome_known, cleared) in [(true, true), (false, false)] {
+        let mut script = Script::new(Loaded::default());
+        script.report("vm-1", Vec::new());
+        script.submit("run-1", spec("blue", 1.0, 1));
+        let batch = script.launches().remove(0);
+        let take = take_of(&batch.2);
+        if outcome_known {
+            let line = listed("run-1/0", take, TaskState::Fetching, None);
+            let report = script.report_of("vm-1", TERM, vec![line]);
+            script.answered(&batch, CommandOutcome::Executed(report));
+        } else {
+            script.answered(&batch, CommandOutcome::NoAnswer);
+            // The next report is answered with the same launch.
+            let commands = script.report("vm-1", Vec::new());
+            assert_eq!(take_of(&commands), take);
+        }
+        let line = listed("run-1/0", take, TaskState::Ended, Some(Ending::Error));
+        script.report("vm-1", vec![line.clone()]);
+        script.batches();
+        let commands = script.report("vm-1", vec![line]);
+        let clears = commands
+            .iter()
+            .any(|c| matches!(c, Command::Clear { attempt, .. } if *attempt == take));
+        // A late copy of the launch would start what was cleared.
+        assert_eq!(clears, cleared);
+    }
+}
+
+#[test]
+fn attempt_numbers_never_repeat_across_terms() {
+    let takes = |term: u64| {
+        let now = Instant::now();
+        let mut shard = Shard::take_over(policy(), term, Loaded::default(), now);
+        shard.set_types(&machine_types());
+        let mut script = Script {
+            shard,
+            now,
+            seq: 0,
+            actions: Vec::new(),
+        };
+        let report = script.report_of("vm-1", term, Vec::new());
+        script.shard.report(&report, now);
+        script.settle();
+        script
+            .shard
+            .job_put("run-1", term + 1, record(spec("blue", 1.0, 5)), now);
+        script.settle();
+        script
+            .launches()
+            .into_iter()
+            .flat_map(|(_, _, commands)| commands)
+            .filter_map(|command| match command {
+                Command::Launch { attempt, .. } => Some(attempt),
+                _ => None,
+            })
+            .collect::<Vec<_>>()
+    };
+    // The later owner knows nothing of the earlier one's attempts.
+    let (first, second) = (takes(7), takes(8));
+    assert_eq!(first.len(), 5);
+    assert!(second.iter().all(|take| !first.contains(take)));
+}
+
+#[test]
+fn after_a_take_over_old_work_waits_until_every_machine_is_accounted_for() {
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), 50, record(spec("blue", 1.0, 1)))],
+        roster: vec![roster("vm-1"), roster("vm-2")],
+        ..Loaded::default()
+    });
+    let probes = script.batches();
+    let report = script.report_of("vm-1", TERM, Vec::new());
+    script.answered(&probes[0], CommandOutcome::Executed(report));
+    assert!(script.launches().is_empty(), "vm-2 may hold the task");
+    // A job that no earlier owner can have known starts at once.
+    script.submit("run-2", spec("blue", 1.0, 1));
+    assert_eq!(script.launches().len(), 1);
+    let line = listed("run-1/0", 9, TaskState::Running, None);
+    script.report("vm-2", vec![line]);
+    assert!(script.launches().is_empty(), "the task runs on vm-2");
+    assert_eq!(script.shard.view("run-1").map(|v| v.2), Some(1));
+}
+
+#[test]
+fn a_report_under_an_older_term_proves_nothing() {
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), 50, record(spec("blue", 1.0, 1)))],
+        roster: vec![roster("vm-1")],
+        ..Loaded::default()
+    });
+    let probes = script.batches();
+    assert_eq!(
+        probes.len(),
+        1,
+        "every machine is sent the new term at once"
+    );
+    let report = script.report_of("vm-1", TERM - 1, Vec::new());
+    script.shard.report(&report, script.now);
+    script.settle();
+    assert!(script.launches().is_empty(), "an older launch may land yet");
+    let report = script.report_of("vm-1", TERM, Vec::new());
+    script.answered(&probes[0], CommandOutcome::Executed(report));
+    assert_eq!(script.launches().len(), 1);
+}
+
+#[test]
+fn a_late_report_is_not_believed() {
+    let mut script = Script::new(Loaded::default());
+    let late = script.report_of("vm-1", TERM, Vec::new());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    let line = listed("run-1/0", take_of(&batch.2), TaskState::Running, None);
+    let report = script.report_of("vm-1", TERM, vec![line]);
+    script.answered(&batch, CommandOutcome::Executed(report));
+    // It is as old as its number says: the task is still there.
+    script.shard.report(&late, script.now);
+    script.settle();
+    assert!(script.launches().is_empty());
+    assert_eq!(script.shard.view("run-1").map(|v| v.2), Some(1));
+}
+
+#[test]
+fn a_cancel_stops_a_launch_that_may_still_land() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    let take = take_of(&batch.2);
+    script.shard.job_gone("run-1", None, script.now);
+    script.settle();
+    script.answered(&batch, CommandOutcome::NoAnswer);
+    let commands = script.report("vm-1", Vec::new());
+    assert_eq!(
+        take_of(&commands),
+        take,
+        "pinned, so that it can't come late"
+    );
+    assert!(matches!(
+        commands.last(),
+        Some(Command::Stop { attempt, grace_s, .. }) if *attempt == take && *grace_s == 0.0
+    ));
+}
+
+#[test]
+fn only_a_deletion_that_was_answered_frees_a_machines_tasks() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    let mut job = spec("blue", 1.0, 1);
+    job.kind = JobKind::Standing;
+    script.submit("run-1", job);
+    let batch = script.launches().remove(0);
+    let line = listed("run-1/0", take_of(&batch.2), TaskState::Running, None);
+    let report = script.report_of("vm-1", TERM, vec![line]);
+    script.answered(&batch, CommandOutcome::Executed(report));
+    script.report("vm-2", Vec::new());
+    // vm-1 falls silent; its probes stay unanswered.
+    for _ in 0..12 {
+        script.pass(Duration::from_secs(1));
+        for probe in script.batches() {
+            script.answered(&probe, CommandOutcome::NoAnswer);
+        }
+        script.report("vm-2", Vec::new());
+    }
+    let machine = MachineId::from("vm-1");
+    let delete = Action::Delete(vec![machine.clone()]);
+    assert!(script.actions.contains(&delete), "{:?}", script.actions);
+    script
+        .shard
+        .deletion_answered(std::slice::from_ref(&machine), false, script.now);
+    script.settle();
+    assert!(script.launches().is_empty(), "no answer proves nothing");
+    script.shard.deletion_answered(&[machine], true, script.now);
+    script.settle();
+    assert_eq!(script.launches()[0].0, "vm-2".into());
+}
+
+#[test]
+fn nothing_starts_while_changes_go_unrecorded_for_too_long() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    assert_eq!(script.launches().len(), 1);
+    // From here on no write is applied.
+    for _ in 0..18 {
+        script.now += Duration::from_secs(1);
+        script.shard.tick(script.now);
+        let report = script.report_of("vm-1", TERM, Vec::new());
+        script.shard.report(&report, script.now);
+        script.shard.take_actions();
+    }
+    let late = record(spec("blue", 1.0, 1));
+    script.shard.job_put("run-2", TERM + 99, late, script.now);
+    script.shard.settle(script.now);
+    assert!(
+        !script
+            .shard
+            .take_actions()
+            .iter()
+            .any(|action| matches!(action, Action::Command { .. }))
+    );
+}
+
+#[test]
+fn a_team_limit_counts_what_may_exist() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.report("vm-2", Vec::new());
+    script.report("vm-3", Vec::new());
+    // Red may use 16 cores; 5 tasks of 4 want 20.
+    script.submit("run-1", spec("red", 4.0, 5));
+    let launched: usize = script.launches().iter().map(|batch| batch.2.len()).sum();
+    assert_eq!(launched, 4, "launches in flight count");
+}
+
+#[test]
+fn a_rental_without_an_answer_is_repeated_under_its_name() {
+    let mut script = Script::new(Loaded::default());
+    script.submit("run-1", spec("blue", 8.0, 1));
+    script.pass(Duration::from_secs(1));
+    let rentals = |script: &mut Script| {
+        let mut rentals = Vec::new();
+        script.actions.retain(|action| match action {
+            Action::Rent(rental) => {
+                rentals.push(rental.clone());
+                false
+            }
+            _ => true,
+        });
+        rentals
+    };
+    let first = rentals(&mut script).remove(0);
+    script
+        .shard
+        .rental_answered(&first.request, RentalOutcome::Unknown, script.now);
+    script.pass(Duration::from_secs(2));
+    assert!(rentals(&mut script).contains(&first));
+}
+
+#[test]
+fn a_finish_is_cleared_only_after_a_snapshot_holds_it() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 2));
+    let batch = script.launches().remove(0);
+    let take = take_of(&batch.2);
+    let running = |n: u64| listed(&format!("run-1/{n}"), take + n, TaskState::Running, None);
+    let report = script.report_of("vm-1", TERM, vec![running(0), running(1)]);
+    script.answered(&batch, CommandOutcome::Executed(report));
+    let done = listed("run-1/0", take, TaskState::Ended, Some(Ending::Done));
+    let clears = |commands: &[Command]| {
+        commands
+            .iter()
+            .any(|command| matches!(command, Command::Clear { .. }))
+    };
+    // The snapshot is taken, but not written yet.
+    script.now += Duration::from_secs(4);
+    let report = script.report_of("vm-1", TERM, vec![done.clone(), running(1)]);
+    script.shard.report(&report, script.now);
+    script.shard.tick(script.now);
+    let write: ShardWrite = script
+        .shard
+        .take_actions()
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Write(write) => Some(write),
+            _ => None,
+        })
+        .expect("a snapshot is due");
+    let report = script.report_of("vm-1", TERM, vec![done.clone(), running(1)]);
+    match script.shard.report(&report, script.now) {
+        ReportOutcome::Answer(commands) => assert!(!clears(&commands)),
+        ReportOutcome::Refuse => panic!("refused"),
+    }
+    script.shard.shard_written(&write, script.now);
+    script.settle();
+    script.pass(Duration::from_secs(4));
+    let commands = script.report("vm-1", vec![done, running(1)]);
+    assert!(clears(&commands));
+}
