--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -505,7 +505,7 @@
         self.later(delay, message);
     }
 
-    fn to_owner(&mut self, run: u64, event: impl FnOnce(&mut Shard)) {
+    fn for_owner(&mut self, run: u64, event: impl FnOnce(&mut Shard)) {
         if self.owner.as_ref().is_some_and(|owner| owner.run == run) {
             self.tell(event);
         }
@@ -623,7 +623,7 @@
                 outcome,
             } => {
                 let id: MachineId = machine.as_str().into();
-                self.to_owner(owner, |shard| {
+                self.for_owner(owner, |shard| {
                     // Only the first answer counts: the caller has gone on.
                     if shard
                         .machines()
@@ -646,7 +646,7 @@
                 self.send(Message::Written { owner, write });
             }
             Message::Written { owner, write } => {
-                self.to_owner(owner, |shard| shard.shard_written(&write, now));
+                self.for_owner(owner, |shard| shard.shard_written(&write, now));
             }
             Message::Finish { term, job, mark } => {
                 let same = self.jobs.get(&job).is_some_and(|(at, _)| *at == mark);
@@ -730,7 +730,7 @@
                 owner,
                 request,
                 outcome,
-            } => self.to_owner(owner, |shard| shard.rental_answered(&request, outcome, now)),
+            } => self.for_owner(owner, |shard| shard.rental_answered(&request, outcome, now)),
             Message::Boot { id, zone, spot } => self.boot(&id, &zone, spot),
             Message::Delete { owner, machines } => {
                 for id in &machines {
@@ -739,7 +739,7 @@
                 self.send(Message::Deleted { owner, machines });
             }
             Message::Deleted { owner, machines } => {
-                self.to_owner(owner, |shard| shard.deletion_answered(&machines, true, now));
+                self.for_owner(owner, |shard| shard.deletion_answered(&machines, true, now));
             }
         }
     }
--- /dev/null
+++ b/tests/support/state.rs
@@ -0,0 +1,222 @@
+//! A state service: keys with versions, transactions, holds and watches.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use axum::Router;
+use axum::extract::{Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::{delete, get, post};
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use valegap::protocol::state::{Change, HoldRequest, Txn};
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    /// Time to live and end of each hold.
+    holds: HashMap<u64, (Duration, Instant)>,
+    next_hold: u64,
+    log: Vec<(String, u64, Value)>,
+}
+
+impl Store {
+    fn drop_key(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            let event = json!({ "Drop": key, "Mark": self.revision });
+            self.log.push((key.to_owned(), self.revision, event));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (_, end))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            self.end_hold(id);
+        }
+    }
+
+    fn end_hold(&mut self, id: u64) {
+        if self.holds.remove(&id).is_none() {
+            return;
+        }
+        let attached: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, hold))| *hold == Some(id))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !attached.is_empty() {
+            self.revision += 1;
+        }
+        for key in attached {
+            self.drop_key(&key);
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+struct Service {
+    store: Arc<Mutex<Store>>,
+    changed: Arc<Notify>,
+}
+
+type Asked = Query<HashMap<String, String>>;
+
+fn number(query: &HashMap<String, String>, name: &str) -> u64 {
+    query
+        .get(name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
+}
+
+/// The stand-in's routes.
+pub fn router() -> Router {
+    let service = Service::default();
+    let ticking = service.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            ticking.store.lock().expect("store").expire();
+            ticking.changed.notify_waiters();
+        }
+    });
+    Router::new()
+        .route("/store", get(list))
+        .route("/store/{*key}", get(read))
+        .route("/txn", post(txn))
+        .route("/holds", post(hold))
+        .route("/holds/{id}/renew", post(renew))
+        .route("/holds/{id}", delete(end))
+        .route("/follow", get(follow))
+        .with_state(service)
+}
+
+async fn read(State(service): State<Service>, Path(key): Path<String>) -> Response {
+    let store = service.store.lock().expect("store");
+    match store.keys.get(&key) {
+        Some((value, version, hold)) => {
+            Json(json!({ "Path": key, "V": value, "Mark": version, "Tenure": hold }))
+                .into_response()
+        }
+        None => {
+            let body = Json(json!({ "Edition": store.revision }));
+            (StatusCode::NOT_FOUND, body).into_response()
+        }
+    }
+}
+
+async fn list(State(service): State<Service>, Query(query): Asked) -> Json<Value> {
+    let prefix = query.get("Prefix").cloned().unwrap_or_default();
+    let after = query.get("After").cloned().unwrap_or_default();
+    let most = number(&query, "Most").clamp(1, 1000) as usize;
+    let store = service.store.lock().expect("store");
+    let mut found = store
+        .keys
+        .range(prefix.clone()..)
+        .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+        .map(|(key, (value, version, _))| json!({ "Path": key, "V": value, "Mark": version }));
+    let items: Vec<Value> = found.by_ref().take(most).collect();
+    let more = found.next().is_some();
+    Json(json!({ "Pairs": items, "HasNext": more, "Edition": store.revision }))
+}
+
+async fn txn(State(service): State<Service>, Json(txn): Json<Txn>) -> Response {
+    let mut store = service.store.lock().expect("store");
+    store.expire();
+    for change in &txn.changes {
+        if let Change::Put { hold: Some(id), .. } = change
+            && !store.holds.contains_key(id)
+        {
+            let body = Json(json!({ "error": "no such lease" }));
+            return (StatusCode::BAD_REQUEST, body).into_response();
+        }
+    }
+    let failed: Vec<&String> = txn
+        .guards
+        .iter()
+        .filter(|guard| {
+            let version = store.keys.get(&guard.key).map_or(0, |entry| entry.1);
+            version != guard.version
+        })
+        .map(|guard| &guard.key)
+        .collect();
+    if !failed.is_empty() {
+        let body = Json(json!({ "failed": failed, "Edition": store.revision }));
+        return (StatusCode::CONFLICT, body).into_response();
+    }
+    if !txn.changes.is_empty() {
+        store.revision += 1;
+    }
+    let revision = store.revision;
+    for change in txn.changes {
+        match change {
+            Change::Put { key, value, hold } => {
+                let event = json!({ "Write": key, "V": value, "Mark": revision });
+                store.log.push((key.clone(), revision, event));
+                store.keys.insert(key, (value, revision, hold));
+            }
+            Change::Delete { key } => store.drop_key(&key),
+        }
+    }
+    drop(store);
+    service.changed.notify_waiters();
+    Json(json!({ "Edition": revision })).into_response()
+}
+
+async fn hold(State(service): State<Service>, Json(request): Json<HoldRequest>) -> Json<Value> {
+    let mut store = service.store.lock().expect("store");
+    store.next_hold += 1;
+    let id = store.next_hold;
+    let ttl = Duration::from_millis(request.ttl_ms);
+    store.holds.insert(id, (ttl, Instant::now() + ttl));
+    Json(json!({ "Tenure": id }))
+}
+
+async fn renew(State(service): State<Service>, Path(id): Path<u64>) -> StatusCode {
+    let mut store = service.store.lock().expect("store");
+    store.expire();
+    match store.holds.get_mut(&id) {
+        Some((ttl, end)) => {
+            *end = Instant::now() + *ttl;
+            StatusCode::OK
+        }
+        None => StatusCode::NOT_FOUND,
+    }
+}
+
+async fn end(State(service): State<Service>, Path(id): Path<u64>) -> StatusCode {
+    service.store.lock().expect("store").end_hold(id);
+    service.changed.notify_waiters();
+    StatusCode::OK
+}
+
+async fn follow(State(service): State<Service>, Query(query): Asked) -> Json<Value> {
+    let prefix = query.get("Prefix").cloned().unwrap_or_default();
+    let after = number(&query, "After");
+    let end = Instant::now() + Duration::from_millis(number(&query, "HoldMs"));
+    loop {
+        let changed = service.changed.notified();
+        {
+            let store = service.store.lock().expect("store");
+            let events: Vec<&Value> = store
+                .log
+                .iter()
+                .filter(|(key, revision, _)| *revision > after && key.starts_with(&prefix))
+                .map(|(_, _, event)| event)
+                .collect();
+            if !events.is_empty() || Instant::now() >= end {
+                return Json(json!({ "Edition": store.revision, "News": events }));
+            }
+        }
+        let _ = tokio::time::timeout(Duration::from_millis(100), changed).await;
+    }
+}
--- /dev/null
+++ b/tests/trial.rs
@@ -0,0 +1,292 @@
+//! Three controllers on loopback against the stand-ins: they accept, run and
+//! finish a job, and survive a kill of the one that runs the machines.
+
+mod support;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use serde_json::{Value, json};
+use valegap::transport::client::{Answer, HttpClient};
+
+/// Long enough for any machine: a trial that needs it has failed.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Controller {
+    label: String,
+    front: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Controller {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+fn start(settings: &Value, label: &str, front: SocketAddr) -> Controller {
+    let path: PathBuf = [env!("CARGO_TARGET_TMPDIR"), &format!("{label}.json")]
+        .iter()
+        .collect();
+    std::fs::write(&path, settings.to_string()).expect("a settings file");
+    let child = Command::new(env!("CARGO_BIN_EXE_valegap"))
+        .arg("--config")
+        .arg(&path)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    Controller {
+        label: label.to_owned(),
+        front,
+        child,
+    }
+}
+
+async fn start_all() -> Vec<Controller> {
+    let labels = ["n0", "n1", "n2"];
+    let fronts: Vec<SocketAddr> = labels.iter().map(|_| free_addr()).collect();
+    let internals: Vec<SocketAddr> = labels.iter().map(|_| free_addr()).collect();
+    let state = support::serve(support::state::router()).await;
+    let named = labels.iter().map(|l| l.to_string()).zip(fronts.clone());
+    let cloud = support::serve(support::cloud::router(named.collect())).await;
+    let mut controllers = Vec::new();
+    for (at, label) in labels.iter().enumerate() {
+        let others: Vec<Value> = labels
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != at)
+            .map(|(other, l)| json!({ "label": l, "area": "north", "address": internals[other] }))
+            .collect();
+        let settings = json!({
+            "label": label, "area": "north", "front": fronts[at],
+            "internal_addr": internals[at], "others": others,
+            "services": { "cloud": cloud, "state": state },
+            "settings": {
+                "zones": ["north"],
+                "teams": [{ "name": "red", "cpus": 0, "cpus_max": 0, "gpus": 0, "gpus_max": 0 }],
+                "objectives": [],
+                "workers": { "report_s": 0.5, "lease_s": 10.0, "cancel_s": 20.0 },
+                "state": { "rps": 1000, "write_rps": 500, "value_kb": 16, "txn_ops": 16 },
+                "cloud": { "rps": 100, "list_lag_s": 0.5 },
+                "resources": { "cpu": 1.0, "ram_mb": 200, "max_connections": 1000 },
+                "skew_ms": 10,
+            },
+        });
+        controllers.push(start(&settings, label, fronts[at]));
+    }
+    controllers
+}
+
+async fn ask(
+    client: &HttpClient,
+    to: &Controller,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<Answer> {
+    client
+        .call(method, to.front, path, body, Duration::from_secs(3))
+        .await
+        .ok()
+}
+
+/// Repeats a request to one controller until it gets this status.
+async fn insist(
+    client: &HttpClient,
+    to: &Controller,
+    method: Method,
+    path: &str,
+    body: &Value,
+    wanted: impl Fn(&Answer, &Value) -> bool,
+) -> Value {
+    let end = Instant::now() + PATIENCE;
+    let mut last = None;
+    while Instant::now() < end {
+        let sent = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
+        if let Some(answer) = ask(client, to, method.clone(), path, sent).await {
+            let value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+            if wanted(&answer, &value) {
+                return value;
+            }
+            last = Some((answer.status, value));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{path} at {}: last answer {last:?}", to.label);
+}
+
+fn job(id: &str, form: &str, tasks: u32) -> Value {
+    json!({ "NameId": id, "Repertoire": "sums", "Section": "red", "Form": form,
+        "Tempo": "standard", "Voices": tasks, "Cores": 1.0, "Accelerators": 0.0, "MemGb": 1.0,
+        "Score": "img", "ImageGb": 0.1, "OneZone": false, "Scatter": false, "Borrowed": false,
+        "DurationS": 1.5, "BreathS": 0.0, "FermataS": 0.0 })
+}
+
+fn accepted(answer: &Answer, _: &Value) -> bool {
+    answer.status == 201 || answer.status == 200
+}
+
+fn in_stage(stage: &str) -> impl Fn(&Answer, &Value) -> bool {
+    move |answer, value| answer.status == 200 && value["Stage"] == stage
+}
+
+/// The one that answers a report's address question: the shard's owner.
+async fn owner(client: &HttpClient, controllers: &[Controller]) -> usize {
+    let report = json!({ "Stand": "vm-none", "Addr": "", "Instrument": "m4", "Hall": "north",
+        "Borrowed": false, "Rehearsal": 1, "Bar": 1, "Baton": 0, "CueS": null, "Voices": [] });
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        for (at, controller) in controllers.iter().enumerate() {
+            let body = report.to_string().into_bytes();
+            let answer = ask(client, controller, Method::POST, "/v1/report", body).await;
+            if answer.is_some_and(|answer| answer.status == 200) {
+                return at;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("no controller owns the shard");
+}
+
+#[tokio::test]
+async fn three_controllers_finish_jobs_and_survive_a_kill() {
+    let mut controllers = start_all().await;
+    let client = HttpClient::new();
+    for controller in &controllers {
+        let ready = |answer: &Answer, _: &Value| answer.status == 200;
+        insist(
+            &client,
+            controller,
+            Method::GET,
+            "/ready",
+            &Value::Null,
+            ready,
+        )
+        .await;
+    }
+    let submit = job("run-000001", "batch", 6);
+    insist(
+        &client,
+        &controllers[0],
+        Method::POST,
+        "/v1/jobs",
+        &submit,
+        accepted,
+    )
+    .await;
+    let path = "/v1/jobs/run-000001";
+    insist(
+        &client,
+        &controllers[1],
+        Method::GET,
+        path,
+        &Value::Null,
+        in_stage("done"),
+    )
+    .await;
+
+    // A second job, and then the owner dies in the middle of it.
+    let submit = job("run-000002", "batch", 12);
+    insist(
+        &client,
+        &controllers[2],
+        Method::POST,
+        "/v1/jobs",
+        &submit,
+        accepted,
+    )
+    .await;
+    let dead = owner(&client, &controllers).await;
+    drop(controllers.remove(dead));
+    for controller in &controllers {
+        let path = "/v1/jobs/run-000002";
+        insist(
+            &client,
+            controller,
+            Method::GET,
+            path,
+            &Value::Null,
+            in_stage("done"),
+        )
+        .await;
+        // What was told before the kill still holds.
+        let path = "/v1/jobs/run-000001";
+        insist(
+            &client,
+            controller,
+            Method::GET,
+            path,
+            &Value::Null,
+            in_stage("done"),
+        )
+        .await;
+    }
+
+    // Cancelled stays cancelled, and strangers are unknown.
+    let submit = job("run-000003", "batch", 2);
+    insist(
+        &client,
+        &controllers[0],
+        Method::POST,
+        "/v1/jobs",
+        &submit,
+        accepted,
+    )
+    .await;
+    let path = "/v1/jobs/run-000003/cancel";
+    let over = |answer: &Answer, value: &Value| {
+        answer.status == 200 && (value["Stage"] == "cancelled" || value["Stage"] == "done")
+    };
+    let told = insist(
+        &client,
+        &controllers[0],
+        Method::POST,
+        path,
+        &Value::Null,
+        over,
+    )
+    .await;
+    let again = insist(
+        &client,
+        &controllers[1],
+        Method::POST,
+        path,
+        &Value::Null,
+        over,
+    )
+    .await;
+    assert_eq!(told["Stage"], again["Stage"]);
+    let unknown = ask(
+        &client,
+        &controllers[0],
+        Method::GET,
+        "/v1/jobs/run-999999",
+        Vec::new(),
+    );
+    assert_eq!(
+        unknown.await.map(|answer| answer.status.as_u16()),
+        Some(404)
+    );
+    let bad = ask(
+        &client,
+        &controllers[0],
+        Method::POST,
+        "/v1/jobs",
+        b"{}".to_vec(),
+    )
+    .await;
+    assert_eq!(bad.map(|answer| answer.status.as_u16()), Some(400));
+}
