--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -190,6 +190,25 @@
         failed.is_some_and(|failed| failed > served) && recent > Duration::from_millis(1500)
     }
 
+    /// Until when this node must not seek the shard: an owner may be going on
+    /// by its promise, or by one that an earlier run of this process gave.
+    pub fn may_not_seek(&self) -> Option<Instant> {
+        let now = self.now();
+        let inner = self.lock();
+        let others = self.settings.platform.others.len();
+        let free_peers = inner
+            .peers
+            .values()
+            .filter(|view| view.pulse.term.is_none())
+            .count();
+        let no_owner_about = inner.previous_run_ended || free_peers == others;
+        let earlier = (!no_owner_about).then_some(self.started + peering::LONGEST_PROMISE);
+        inner
+            .promised_until
+            .max(earlier)
+            .filter(|until| *until > now)
+    }
+
     /// Whether the last answer of the state service was none, or a refusal.
     pub fn state_failing(&self) -> bool {
         let (served, failed) = self.state.health();
@@ -205,6 +224,52 @@
         })
     }
 
+    /// What operators may want to know, as text.
+    pub fn status(&self) -> String {
+        let now = self.now();
+        let owner = self.owner_label().unwrap_or_else(|| "unknown".into());
+        let latencies = self.state.latencies();
+        let inner = self.lock();
+        let mut page = format!(
+            "controller {} in {}, up {:?}\nowner of the shard: {owner}\n\
+             state service: {} answers, p50 {:?}, p99 {:?}, longest {:?}\n",
+            self.label(),
+            self.settings.platform.area,
+            now.saturating_duration_since(self.started),
+            latencies.answered,
+            latencies.p50,
+            latencies.p99,
+            latencies.longest,
+        );
+        for view in inner.peers.values() {
+            page.push_str(&format!(
+                "peer {}: heard {:?} ago, state service {}, workers {}, term {:?}\n",
+                view.pulse.label,
+                now.saturating_duration_since(view.at),
+                if view.pulse.state_served {
+                    "serves it"
+                } else {
+                    "doesn't"
+                },
+                view.pulse.workers_heard,
+                view.pulse.term,
+            ));
+        }
+        if let Some(own) = &inner.ownership {
+            page.push_str(&format!(
+                "term {}, {} its deadline\n",
+                own.tenure.term,
+                if own.tenure.live(now) {
+                    "before"
+                } else {
+                    "past"
+                }
+            ));
+            page.push_str(&own.shard.describe(now));
+        }
+        page
+    }
+
     /// Whether users should come here. When nobody is served, leaving the
     /// balancer would only make the way back longer.
     pub fn ready(&self) -> bool {
@@ -352,24 +417,10 @@
 
 fn candidate_delay(node: &Arc<Node>) -> Duration {
     let now = node.now();
-    let inner = node.lock();
-    // An owner may be going on by our promise, or by one that an earlier run
-    // of this process gave.
-    let promised = inner.promised_until.filter(|until| *until > now);
-    let others = node.settings.platform.others.len();
-    let no_owner_about = inner.previous_run_ended
-        || inner
-            .peers
-            .values()
-            .filter(|view| view.pulse.term.is_none())
-            .count()
-            == others;
-    let earlier = (!no_owner_about)
-        .then_some(node.started + peering::LONGEST_PROMISE)
-        .filter(|until| *until > now);
-    if let Some(until) = promised.max(earlier) {
+    if let Some(until) = node.may_not_seek() {
         return until.saturating_duration_since(now) + Duration::from_millis(10);
     }
+    let inner = node.lock();
     if inner.deaf_until.is_some_and(|until| until > now) {
         return DEAF_LAST;
     }
@@ -382,12 +433,10 @@
 /// Raises the term; the tenure it returns is being renewed.
 async fn acquire(node: &Arc<Node>) -> Option<Arc<Tenure>> {
     {
-        let now = node.now();
-        let mut inner = node.lock();
-        if inner.promised_until.is_some_and(|until| until > now) {
+        if node.may_not_seek().is_some() {
             return None;
         }
-        inner.acquiring = true;
+        node.lock().acquiring = true;
     }
     let (tenure, settled) = try_acquire(node).await;
     // Without a settled outcome no promise is given until the next try.
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -300,3 +300,40 @@
                 && view.pulse.up_s > LEAST_TENURE.as_secs() / 2
         })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::FakeClock;
+    use crate::settings::{Operator, Platform, Settings};
+
+    fn node(clock: Arc<FakeClock>) -> Arc<Node> {
+        // Nothing listens on port 1: every request to the state service fails.
+        let text = crate::settings::platform::tests::EXAMPLE.replace("127.0.0.1:4", "127.0.0.1:1");
+        let platform = Platform::parse("example", &text).expect("valid settings");
+        let settings = Settings {
+            platform,
+            operator: Operator::default(),
+        };
+        Node::new(settings, clock)
+    }
+
+    #[tokio::test]
+    async fn a_promise_needs_an_outage_and_is_kept() {
+        let clock = Arc::new(FakeClock::new());
+        let node = node(clock.clone());
+        let time = Duration::from_secs(1);
+        assert!(!promise(&node, time), "nothing shows an outage yet");
+        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+        assert!(promise(&node, time));
+        assert!(!promise(&node, time * 10), "longer than any owner may ask");
+        assert!(node.may_not_seek().is_some());
+        clock.advance(Duration::from_millis(999));
+        assert!(node.may_not_seek().is_some(), "kept to its end");
+        clock.advance(Duration::from_millis(10));
+        // A process that has just started also waits out its earlier run's.
+        assert!(node.may_not_seek().is_none());
+        node.lock().acquiring = true;
+        assert!(!promise(&node, time), "an attempt of its own is under way");
+    }
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -269,6 +269,41 @@
         )
     }
 
+    /// Machines and queues, as text for operators.
+    pub fn describe(&self, now: Instant) -> String {
+        let mut text = format!("{}\n", self.summary());
+        let mut queues: BTreeMap<&str, (u32, usize)> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let entry = queues.entry(&job.spec.team).or_default();
+            entry.0 += job.waiting();
+            entry.1 += job.live.len();
+        }
+        for (team, (waiting, live)) in queues {
+            text.push_str(&format!(
+                "team {team}: {waiting} tasks wait, {live} on machines\n"
+            ));
+        }
+        for machine in self.machines.values() {
+            let state = match machine {
+                m if m.deleting => "being returned",
+                m if m.draining => "being emptied",
+                m if m.heard.is_none() => "not heard yet",
+                m if m.open(now, self.policy.suspect) => "open",
+                _ => "closed",
+            };
+            text.push_str(&format!(
+                "{} {} {}{}: {state}, {} attempts, silent {:?}\n",
+                machine.id,
+                machine.machine_type,
+                machine.zone,
+                if machine.spot { " spot" } else { "" },
+                machine.attempts.len(),
+                machine.heard.map(|_| machine.silence(now)),
+            ));
+        }
+        text
+    }
+
     /// The machines, for tests and the status page.
     pub fn machines(&self) -> &BTreeMap<MachineId, Machine> {
         &self.machines
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use hdrhistogram::Histogram;
 use hyper::{Method, StatusCode};
 use rand::Rng;
 use serde::de::DeserializeOwned;
@@ -54,8 +55,22 @@
     renewals: HttpClient,
     watches: HttpClient,
     health: Mutex<Health>,
+    /// Times of the answered requests, watches apart, in microseconds.
+    latencies: Mutex<Histogram<u64>>,
 }
 
+/// Percentiles of the service's latencies.
+#[derive(Debug, Clone, Copy)]
+pub struct Latencies {
+    pub answered: u64,
+    pub p50: Duration,
+    pub p99: Duration,
+    pub longest: Duration,
+}
+
+/// Longest latency that is told from longer ones.
+const LONGEST_LATENCY_US: u64 = 60_000_000;
+
 impl StateClient {
     pub fn new(addr: SocketAddr) -> Self {
         Self {
@@ -64,6 +79,22 @@
             renewals: HttpClient::new(),
             watches: HttpClient::new(),
             health: Mutex::new(Health::default()),
+            latencies: Mutex::new(
+                Histogram::new_with_bounds(1, LONGEST_LATENCY_US, 2)
+                    .expect("the bounds are constants in range"),
+            ),
+        }
+    }
+
+    /// How long the service has taken to answer since the start.
+    pub fn latencies(&self) -> Latencies {
+        let histogram = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
+        let at = |quantile| Duration::from_micros(histogram.value_at_quantile(quantile));
+        Latencies {
+            answered: histogram.len(),
+            p50: at(0.5),
+            p99: at(0.99),
+            longest: Duration::from_micros(histogram.max()),
         }
     }
 
@@ -95,7 +126,16 @@
         body: Vec<u8>,
         deadline: Duration,
     ) -> Result<Answer, StateError> {
+        let sent = Instant::now();
         let result = client.call(method, self.addr, path, body, deadline).await;
+        if result.is_ok() && !path.starts_with("/follow") {
+            let micros = sent
+                .elapsed()
+                .as_micros()
+                .clamp(1, LONGEST_LATENCY_US.into());
+            let mut histogram = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
+            histogram.saturating_record(micros as u64);
+        }
         self.note(&result);
         match result {
             Ok(answer) => match answer.status {
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -6,7 +6,7 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::State;
-use axum::routing::post;
+use axum::routing::{get, post};
 
 use crate::coordination::node::Node;
 use crate::coordination::peering;
@@ -15,7 +15,15 @@
 
 /// Routes of the internal address.
 pub fn router(node: Arc<Node>) -> Router {
-    Router::new().route("/peer", post(peer)).with_state(node)
+    Router::new()
+        .route("/peer", post(peer))
+        .route("/status", get(status))
+        .with_state(node)
+}
+
+/// A page for operators; its format may change.
+async fn status(State(node): State<Arc<Node>>) -> String {
+    node.status()
 }
 
 async fn peer(State(node): State<Arc<Node>>, body: Bytes) -> Vec<u8> {
