--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -7,7 +7,7 @@
 use super::placement::allowed;
 use super::{Machine, Phase, Shard};
 use crate::protocol::MachineId;
-use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::users::JobKind;
 
 /// A machine is used at least this long before it is emptied.
 const LEAST_AGE: Duration = Duration::from_secs(60);
@@ -23,57 +23,21 @@
             .find(|m| m.draining && !m.deleting)
             .map(|m| m.id.clone());
         match current {
-            Some(id) => self.move_one_service(&id, |_, _| true),
+            Some(id) => self.move_one_service(&id),
             None => {
                 if let Some(id) = self.emptiest(bins, now) {
                     if let Some(machine) = self.machines.get_mut(&id) {
                         tracing::info!(machine = %id, "emptying a little used machine");
                         machine.draining = true;
                     }
-                    self.move_one_service(&id, |_, _| true);
-                } else if let Some(cap) = self.service_cap() {
-                    self.thin_out(cap, bins);
-                } else {
+                    self.move_one_service(&id);
+                } else if self.policy.holds_capacity() {
                     self.bring_one_near(bins);
                 }
             }
         }
     }
 
-    /// Moves a service off a machine that holds too many, to one that holds
-    /// its image and has room.
-    fn thin_out(&mut self, cap: u32, bins: &[Bin]) {
-        let crowded = self
-            .machines
-            .values()
-            .filter(|m| m.services() > cap && m.synced && !m.deleting)
-            .max_by_key(|m| m.services())
-            .map(|m| m.id.clone());
-        let Some(id) = crowded else {
-            return;
-        };
-        let movable = self.machines.get(&id).is_some_and(|machine| {
-            machine
-                .attempts
-                .values()
-                .filter(|attempt| !attempt.ended() && is_standing(attempt))
-                .filter_map(|attempt| attempt.spec.as_ref())
-                .any(|spec| self.roomy_holder(spec, cap, bins))
-        });
-        if movable {
-            self.move_one_service(&id, |shard, spec| shard.roomy_holder(spec, cap, bins));
-        }
-    }
-
-    fn roomy_holder(&self, spec: &JobSpec, cap: u32, bins: &[Bin]) -> bool {
-        bins.iter().any(|bin| {
-            bin.services < cap
-                && bin.free.fits(spec) > 0
-                && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
-                && self.is_open_holder(bin, &spec.image)
-        })
-    }
-
     /// Moves a service to the main zone, where a controller hears it through
     /// a cut, if a machine with its image has room there.
     fn bring_one_near(&mut self, bins: &[Bin]) {
@@ -139,37 +103,28 @@
         any
     }
 
-    /// Stops the next service there that may move; its replacement starts as
-    /// soon as the worker says that it has ended.
-    fn move_one_service(&mut self, id: &MachineId, may_move: impl Fn(&Self, &JobSpec) -> bool) {
+    /// Stops the next service there; its replacement starts as soon as the
+    /// worker says that it has ended.
+    fn move_one_service(&mut self, id: &MachineId) {
         let waits = self
             .jobs
             .values()
             .any(|job| job.spec.kind == JobKind::Standing && job.waiting() > 0);
-        let moving = self.machines.values().any(|machine| {
-            machine
-                .attempts
-                .values()
-                .any(|a| is_standing(a) && !a.ended() && a.stop.is_some())
-        });
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let moving = machine
+            .attempts
+            .values()
+            .any(|a| !a.ended() && a.stop.is_some());
         if waits || moving {
             return;
         }
-        let Some(machine) = self.machines.get(id) else {
-            return;
-        };
         let next = machine
             .attempts
-            .iter()
-            .filter(|(_, a)| !a.ended() && is_standing(a))
-            .find(|(_, a)| a.spec.as_ref().is_some_and(|spec| may_move(self, spec)))
-            .map(|(key, _)| key.clone());
-        if let Some(key) = next
-            && let Some(attempt) = self
-                .machines
-                .get_mut(id)
-                .and_then(|m| m.attempts.get_mut(&key))
-        {
+            .values_mut()
+            .find(|a| !a.ended() && is_standing(a));
+        if let Some(attempt) = next {
             attempt.want_stop(Duration::ZERO);
             self.restless = true;
         }
@@ -203,11 +158,10 @@
     }
 
     fn fits_elsewhere(&self, machine: &Machine, bins: &[Bin]) -> bool {
-        let cap = self.service_cap().unwrap_or(u32::MAX);
         let mut rooms: Vec<_> = bins
             .iter()
             .filter(|bin| bin.rank == 0 && bin.machine.as_ref() != Some(&machine.id))
-            .map(|bin| (bin, bin.free, bin.services))
+            .map(|bin| (bin, bin.free))
             .collect();
         machine
             .attempts
@@ -217,21 +171,19 @@
                 let Some(spec) = &attempt.spec else {
                     return false;
                 };
-                let room = rooms.iter_mut().find(|(bin, free, services)| {
+                let room = rooms.iter_mut().find(|(bin, free)| {
                     let holds = bin
                         .machine
                         .as_ref()
                         .and_then(|id| self.machines.get(id))
                         .is_some_and(|m| m.has_image(&spec.image));
                     holds
-                        && *services < cap
                         && free.fits(spec) > 0
                         && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
                 });
                 match room {
-                    Some((_, free, services)) => {
+                    Some((_, free)) => {
                         free.take(spec);
-                        *services += 1;
                         true
                     }
                     None => false,
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -145,8 +145,6 @@
     yielding: Vec<Yielding>,
     /// Kept for batch work alone, at the full price.
     costly: bool,
-    /// Services on it.
-    pub services: u32,
     pub used: bool,
     /// Sort: busy machines, idle ones, those that are yet to come.
     pub rank: u8,
@@ -449,13 +447,6 @@
             let companions = class_left.entry(demand.spec.class.clone()).or_default();
             *companions -= demand.count;
             let companions = *companions;
-            let standing = demand.spec.kind == JobKind::Standing;
-            // What waits now takes what there is; what is to come, or sits too
-            // crowded, gets machines of its own.
-            let cap = match (standing && !demand.one_job, self.service_cap()) {
-                (true, Some(cap)) => cap,
-                _ => u32::MAX,
-            };
             let mut left = demand.count;
             let spread = demand.spec.tasks.div_ceil(2);
             let mut per_zone: HashMap<String, u32> = HashMap::new();
@@ -469,7 +460,6 @@
                 }
                 bin.make_room(&demand.spec, left);
                 let mut n = bin.free.fits(&demand.spec).min(left);
-                n = n.min(cap.saturating_sub(bin.services));
                 if demand.spec.scatter && demand.one_job {
                     let there = per_zone.entry(bin.zone.clone()).or_default();
                     n = n.min(spread.saturating_sub(*there));
@@ -479,16 +469,14 @@
                     bin.free.take(&demand.spec);
                 }
                 bin.used |= n > 0;
-                bin.services += if standing { n } else { 0 };
                 left -= n;
             }
             while left > 0 {
-                let Some(offer) = self.best_offer(&demand, (left + companions).min(cap), now)
-                else {
+                let Some(offer) = self.best_offer(&demand, left + companions, now) else {
                     break;
                 };
                 let mut free = Amounts::of_type(&offer.kind);
-                let n = free.fits(&demand.spec).min(left).min(cap);
+                let n = free.fits(&demand.spec).min(left);
                 if n == 0 {
                     break;
                 }
@@ -515,7 +503,6 @@
                     free,
                     yielding: Vec::new(),
                     costly: !offer.spot,
-                    services: if standing { n } else { 0 },
                     used: true,
                     rank: 2,
                 });
@@ -610,7 +597,6 @@
                 free: machine.free(kind),
                 yielding: yielding(machine),
                 costly: self.costly(machine, now),
-                services: machine.services(),
                 used: false,
                 rank: match (coming, machine.busy()) {
                     (false, true) => 0,
@@ -631,7 +617,6 @@
                         free: Amounts::of_type(kind),
                         yielding: Vec::new(),
                         costly: !rental.spot,
-                        services: 0,
                         used: false,
                         rank: 2,
                     });
@@ -798,17 +783,7 @@
                 .filter(|job| job.spec.class == *class)
                 .map(|job| job.live.len())
                 .sum::<usize>() as f64;
-            // Services that sit too crowded should move, as room allows.
-            let crowded = match self.service_cap() {
-                Some(cap) if history.spec.kind == JobKind::Standing => self
-                    .machines
-                    .values()
-                    .map(|m| m.services().saturating_sub(cap))
-                    .sum::<u32>(),
-                _ => 0,
-            };
-            let count = (expected + expected.sqrt()).max(running * self.policy.headroom)
-                + f64::from(crowded);
+            let count = (expected + expected.sqrt()).max(running * self.policy.headroom);
             demands.push(Demand {
                 spec: history.spec.clone(),
                 count: count.ceil().clamp(1.0, 1000.0) as u32,
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -282,20 +282,6 @@
         self.attempts.values().any(|a| !a.ended())
     }
 
-    /// Services that may be on it.
-    pub fn services(&self) -> u32 {
-        self.attempts
-            .values()
-            .filter(|attempt| {
-                !attempt.ended()
-                    && attempt
-                        .spec
-                        .as_ref()
-                        .is_some_and(|spec| spec.kind == JobKind::Standing)
-            })
-            .count() as u32
-    }
-
     /// Notes that an image is used, and forgets what the cache can't hold.
     pub fn use_image(&mut self, image: &str, most: usize) {
         self.images.retain(|held| held != image);
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -9,12 +9,6 @@
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
-/// Share of all services that one machine had better not exceed, and the
-/// number that is always fine.
-const CROWD: f64 = 0.08;
-const SMALL_CROWD: u32 = 2;
-/// Share of a good wait that a fetch may take without being avoided.
-const FETCH_SHARE: f64 = 0.7;
 /// Tasks of one job placed before its team's turn ends.
 const BLOCK: usize = 4;
 const SLACK: f64 = 1e-6;
@@ -28,8 +22,6 @@
     pub spot: bool,
     /// Kept for batch work alone, at the full price.
     pub costly: bool,
-    /// Services on it.
-    pub services: u32,
     pub free: Amounts,
 }
 
@@ -148,7 +140,6 @@
                     zone: m.zone.clone(),
                     spot: m.spot,
                     costly: self.costly(m, now),
-                    services: m.services(),
                     free: m.free(kind),
                 })
             })
@@ -263,7 +254,6 @@
                 break;
             };
             slots[at].free.take(&spec);
-            slots[at].services += u32::from(spec.kind == JobKind::Standing);
             if slots[at].costly {
                 self.fleet.urgent_placed(id);
             }
@@ -300,12 +290,6 @@
                     .as_ref()
                     .is_some_and(|zone| *zone != slot.zone)
         };
-        // One lost machine should not take many services along.
-        let cap = self.service_cap();
-        let crowded = |slot: &Slot| {
-            spec.kind == JobKind::Standing && cap.is_some_and(|cap| slot.services >= cap)
-        };
-        let fetch_is_fine = self.fetch_is_fine(spec);
         slots
             .iter()
             .enumerate()
@@ -330,12 +314,8 @@
                 } else {
                     a.free.cores.total_cmp(&b.free.cores)
                 };
-                let order = if fetch_is_fine {
-                    crowded(a).cmp(&crowded(b)).then(lacks_a.cmp(&lacks_b))
-                } else {
-                    lacks_a.cmp(&lacks_b).then(crowded(a).cmp(&crowded(b)))
-                };
-                order
+                lacks_a
+                    .cmp(&lacks_b)
                     .then(far(a).cmp(&far(b)))
                     .then(b.spot.cmp(&a.spot))
                     .then(room)
@@ -344,34 +324,6 @@
             .map(|(at, _)| at)
     }
 
-    /// How many services a machine should hold at most where they are packed.
-    pub(super) fn service_cap(&self) -> Option<u32> {
-        if self.policy.holds_capacity() {
-            return None;
-        }
-        let services: usize = self
-            .jobs
-            .values()
-            .filter(|job| job.spec.kind == JobKind::Standing)
-            .map(|job| job.live.len())
-            .sum();
-        Some(((services as f64 * CROWD).ceil() as u32).max(SMALL_CROWD))
-    }
-
-    /// Whether a job's image can be fetched well within its good wait.
-    fn fetch_is_fine(&self, spec: &JobSpec) -> bool {
-        let slowest = self
-            .types
-            .values()
-            .map(|kind| kind.fetch_gb_per_s)
-            .filter(|rate| *rate > 0.0)
-            .min_by(f64::total_cmp);
-        match (slowest, self.policy.wait_within.get(&spec.class)) {
-            (Some(rate), Some(within)) => spec.image_gb / rate < within.as_secs_f64() * FETCH_SHARE,
-            _ => false,
-        }
-    }
-
     /// Work that may run on spot machines and has time waits for them.
     pub(super) fn worth_it(&self, job: &Job, slot: &Slot) -> bool {
         !slot.costly
