--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -1,9 +1,11 @@
 //! Emptying machines that are little used, one at a time: their services move
 //! to machines that hold the image already, and what is empty goes back.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use super::fleet::Bin;
+use super::machines::Amounts;
 use super::placement::allowed;
 use super::{Machine, Phase, Shard};
 use crate::protocol::MachineId;
@@ -23,14 +25,14 @@
             .find(|m| m.draining && !m.deleting)
             .map(|m| m.id.clone());
         match current {
-            Some(id) => self.move_one_service(&id),
+            Some(id) => self.move_one_service(&id, bins),
             None => {
                 if let Some(id) = self.emptiest(bins, now) {
                     if let Some(machine) = self.machines.get_mut(&id) {
                         tracing::info!(machine = %id, "emptying a little used machine");
                         machine.draining = true;
                     }
-                    self.move_one_service(&id);
+                    self.move_one_service(&id, bins);
                 } else if self.policy.holds_capacity() {
                     self.bring_one_near(bins);
                 }
@@ -103,34 +105,76 @@
         any
     }
 
-    /// Stops the next service there; its replacement starts as soon as the
-    /// worker says that it has ended.
-    fn move_one_service(&mut self, id: &MachineId) {
+    /// Stops the next service there for which there is room now on a machine
+    /// that holds its image; it starts there as soon as the worker says that it
+    /// has ended.
+    fn move_one_service(&mut self, id: &MachineId, bins: &[Bin]) {
         let waits = self
             .jobs
             .values()
             .any(|job| job.spec.kind == JobKind::Standing && job.waiting() > 0);
-        let Some(machine) = self.machines.get_mut(id) else {
+        let moving = self.machines.values().any(|machine| {
+            machine
+                .attempts
+                .values()
+                .any(|a| is_standing(a) && !a.ended() && a.stop.is_some())
+        });
+        let Some(machine) = self.machines.get(id) else {
             return;
         };
-        let moving = machine
-            .attempts
-            .values()
-            .any(|a| !a.ended() && a.stop.is_some());
         if waits || moving {
             return;
         }
         let next = machine
             .attempts
-            .values_mut()
-            .find(|a| !a.ended() && is_standing(a));
-        if let Some(attempt) = next {
+            .iter()
+            .filter(|(_, attempt)| !attempt.ended() && is_standing(attempt))
+            .find(|(_, attempt)| {
+                attempt.spec.as_ref().is_some_and(|spec| {
+                    bins.iter().any(|bin| {
+                        bin.machine.as_ref() != Some(id)
+                            && self.is_open_holder(bin, &spec.image)
+                            && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+                            && bin
+                                .machine
+                                .as_ref()
+                                .and_then(|id| self.free_now(id))
+                                .is_some_and(|free| free.fits(spec) > 0)
+                    })
+                })
+            })
+            .map(|(key, _)| key.clone());
+        if let Some(key) = next
+            && let Some(attempt) = self
+                .machines
+                .get_mut(id)
+                .and_then(|m| m.attempts.get_mut(&key))
+        {
             attempt.want_stop(Duration::ZERO);
             self.restless = true;
         }
     }
 
-    /// The machine that is worth most to empty, if its services fit elsewhere.
+    fn free_now(&self, id: &MachineId) -> Option<Amounts> {
+        let machine = self.machines.get(id)?;
+        let kind = self.types.get(&machine.machine_type)?;
+        Some(machine.free(kind))
+    }
+
+    /// What a machine has beside its services: batch work on it ends.
+    fn beside_services(&self, machine: &Machine) -> Option<Amounts> {
+        let mut room = Amounts::of_type(self.types.get(&machine.machine_type)?);
+        for attempt in machine.attempts.values().filter(|a| !a.ended()) {
+            let spec = attempt.spec.as_ref()?;
+            if spec.kind == JobKind::Standing {
+                room.take(spec);
+            }
+        }
+        Some(room)
+    }
+
+    /// The machine that is worth most to empty, if its services fit beside
+    /// those of others.
     fn emptiest(&self, bins: &[Bin], now: Instant) -> Option<MachineId> {
         let mut best: Option<(f64, MachineId)> = None;
         for bin in bins.iter().filter(|bin| !bin.used && bin.rank < 2) {
@@ -140,8 +184,10 @@
             let Some(kind) = self.types.get(&machine.machine_type) else {
                 continue;
             };
-            let used = kind.cores - machine.free(kind).cores;
-            let fill = used / kind.cores.max(1e-9);
+            let Some(room) = self.beside_services(machine) else {
+                continue;
+            };
+            let fill = 1.0 - room.cores / kind.cores.max(1e-9);
             let settled = machine.open(now, self.policy.suspect)
                 && now.saturating_duration_since(machine.rented) >= LEAST_AGE;
             if !settled || machine.spot || !machine.busy() || fill > MOST_FILL {
@@ -161,7 +207,16 @@
         let mut rooms: Vec<_> = bins
             .iter()
             .filter(|bin| bin.rank == 0 && bin.machine.as_ref() != Some(&machine.id))
-            .map(|bin| (bin, bin.free))
+            .filter_map(|bin| {
+                let other = self.machines.get(bin.machine.as_ref()?)?;
+                // Where capacity is held, what runs beside services stays.
+                let room = if self.policy.holds_capacity() {
+                    bin.free
+                } else {
+                    self.beside_services(other)?
+                };
+                Some((bin, other, room))
+            })
             .collect();
         machine
             .attempts
@@ -171,25 +226,64 @@
                 let Some(spec) = &attempt.spec else {
                     return false;
                 };
-                let room = rooms.iter_mut().find(|(bin, free)| {
-                    let holds = bin
-                        .machine
-                        .as_ref()
-                        .and_then(|id| self.machines.get(id))
-                        .is_some_and(|m| m.has_image(&spec.image));
-                    holds
-                        && free.fits(spec) > 0
+                let room = rooms.iter_mut().find(|(bin, other, room)| {
+                    other.has_image(&spec.image)
+                        && other
+                            .attempts
+                            .values()
+                            .any(|a| !a.ended() && is_standing(a))
+                        && room.fits(spec) > 0
                         && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
                 });
                 match room {
-                    Some((_, free)) => {
-                        free.take(spec);
+                    Some((_, _, room)) => {
+                        room.take(spec);
                         true
                     }
                     None => false,
                 }
             })
     }
+
+    /// Room that batch work must leave on other machines for the services of
+    /// the one being emptied: the fullest of services first.
+    pub(super) fn reserved_for_moves(&self) -> HashMap<MachineId, Amounts> {
+        let mut reserved = HashMap::new();
+        let Some(leaving) = self.machines.values().find(|m| m.draining && !m.deleting) else {
+            return reserved;
+        };
+        let mut hosts: Vec<(&Machine, Amounts)> = self
+            .machines
+            .values()
+            .filter(|m| {
+                !m.draining
+                    && !m.deleting
+                    && m.attempts.values().any(|a| !a.ended() && is_standing(a))
+            })
+            .filter_map(|m| Some((m, self.beside_services(m)?)))
+            .collect();
+        hosts.sort_by(|a, b| a.1.cores.total_cmp(&b.1.cores).then(a.0.id.cmp(&b.0.id)));
+        for attempt in leaving
+            .attempts
+            .values()
+            .filter(|a| !a.ended() && is_standing(a))
+        {
+            let Some(spec) = &attempt.spec else {
+                continue;
+            };
+            let host = hosts
+                .iter_mut()
+                .find(|(host, room)| host.has_image(&spec.image) && room.fits(spec) > 0);
+            if let Some((host, room)) = host {
+                room.take(spec);
+                reserved
+                    .entry(host.id.clone())
+                    .or_insert_with(Amounts::default)
+                    .give(spec);
+            }
+        }
+        reserved
+    }
 }
 
 fn is_standing(attempt: &super::Attempt) -> bool {
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -468,7 +468,8 @@
                 for _ in 0..n {
                     bin.free.take(&demand.spec);
                 }
-                bin.used |= n > 0;
+                // Work that can wait is no reason to keep a machine.
+                bin.used |= n > 0 && demand.offers != Offers::SpotOnly;
                 left -= n;
             }
             while left > 0 {
@@ -508,7 +509,9 @@
                 });
             }
         }
-        if wanted.is_empty() && self.fleet.bookings.is_empty() {
+        let growing = wanted.keys().any(|(_, _, spot)| !spot)
+            || self.fleet.bookings.values().any(|b| !b.rental.spot);
+        if !growing {
             self.consolidate(&bins, now);
         } else if self.stop_draining() {
             // There was room after all: plan again with it.
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -23,6 +23,21 @@
     /// Kept for batch work alone, at the full price.
     pub costly: bool,
     pub free: Amounts,
+    /// Of that, what batch work must leave.
+    pub reserved: Amounts,
+}
+
+impl Slot {
+    /// Whether one more task of a job fits.
+    fn fits(&self, spec: &JobSpec) -> bool {
+        let mut free = self.free;
+        if spec.kind == JobKind::Batch {
+            free.cores -= self.reserved.cores;
+            free.accelerators -= self.reserved.accelerators;
+            free.mem_gb -= self.reserved.mem_gb;
+        }
+        free.fits(spec) > 0
+    }
 }
 
 /// What the teams may be using, counting all that might exist.
@@ -129,6 +144,7 @@
     }
 
     pub(super) fn open_slots(&self, now: Instant) -> Vec<Slot> {
+        let reserved = self.reserved_for_moves();
         self.machines
             .values()
             .filter(|m| m.open(now, self.policy.suspect))
@@ -141,6 +157,7 @@
                     spot: m.spot,
                     costly: self.costly(m, now),
                     free: m.free(kind),
+                    reserved: reserved.get(&m.id).copied().unwrap_or_default(),
                 })
             })
             .collect()
@@ -295,7 +312,7 @@
             .enumerate()
             .filter(|(_, slot)| {
                 allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-                    && slot.free.fits(spec) > 0
+                    && slot.fits(spec)
                     && self.worth_it(job, slot)
                     && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
                     && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
@@ -317,6 +334,7 @@
                 lacks_a
                     .cmp(&lacks_b)
                     .then(far(a).cmp(&far(b)))
+                    .then(a.costly.cmp(&b.costly))
                     .then(b.spot.cmp(&a.spot))
                     .then(room)
                     .then(a.id.cmp(&b.id))
