--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -175,6 +175,22 @@
     }
 }
 
+/// The owner's own zone, unless another one with a controller holds by far
+/// more machines: handing over for a few machines more would never end.
+fn preferred_zone(node: &Node, zones: &BTreeMap<&str, usize>) -> Option<String> {
+    let platform = &node.settings.platform;
+    let here = zones.get(platform.area.as_str()).copied().unwrap_or(0);
+    let (zone, most) = zones
+        .iter()
+        .filter(|(zone, _)| platform.others.iter().any(|peer| peer.area == **zone))
+        .max_by_key(|(_, count)| **count)?;
+    Some(if *most > here * 2 + 1 {
+        (*zone).to_owned()
+    } else {
+        platform.area.clone()
+    })
+}
+
 /// The owner works out which zone holds most of the machines.
 fn note_main_zone(node: &Node) {
     let mut inner = node.lock();
@@ -185,15 +201,7 @@
     for machine in own.shard.machines().values().filter(|m| m.should_report()) {
         *zones.entry(&machine.zone).or_default() += 1;
     }
-    // Only a zone with a controller can be preferred.
-    let platform = &node.settings.platform;
-    let main = zones
-        .into_iter()
-        .filter(|(zone, _)| {
-            platform.area == **zone || platform.others.iter().any(|peer| peer.area == **zone)
-        })
-        .max_by_key(|(_, count)| *count)
-        .map(|(zone, _)| zone.to_owned());
+    let main = preferred_zone(node, &zones);
     if main.is_some() {
         if let Some(own) = &mut inner.ownership {
             own.shard.main_zone.clone_from(&main);
