--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -26,7 +26,7 @@
 use std::time::{Duration, Instant};
 
 use crate::protocol::cloud::{MachineType, Rental};
-use crate::protocol::users::Stage;
+use crate::protocol::users::{JobKind, Stage};
 use crate::protocol::workers::{Command, Report};
 use crate::protocol::{JobId, MachineId};
 use crate::settings::Settings;
@@ -260,15 +260,39 @@
     /// A few numbers for the log.
     pub fn summary(&self) -> String {
         let attempts: usize = self.machines.values().map(|m| m.attempts.len()).sum();
+        let waiting: u32 = self.jobs.values().map(Job::waiting).sum();
+        let [ordinary, spot] = [false, true].map(|spot| self.cores_of(spot));
         format!(
-            "jobs {} machines {} attempts {} unresolved {}",
+            "jobs {} waiting {} machines {} attempts {} unresolved {} ordinary {} spot {}",
             self.jobs.len(),
+            waiting,
             self.machines.len(),
             attempts,
-            self.unresolved.len()
+            self.unresolved.len(),
+            ordinary,
+            spot,
         )
     }
 
+    /// How the cores of ordinary or spot machines are used.
+    fn cores_of(&self, spot: bool) -> String {
+        let (mut total, mut services, mut batch) = (0.0, 0.0, 0.0);
+        for machine in self.machines.values().filter(|m| m.spot == spot) {
+            total += self
+                .types
+                .get(&machine.machine_type)
+                .map_or(0.0, |kind| kind.cores);
+            for attempt in machine.attempts.values().filter(|a| !a.ended()) {
+                match &attempt.spec {
+                    Some(spec) if spec.kind == JobKind::Standing => services += spec.cores,
+                    Some(spec) => batch += spec.cores,
+                    None => {}
+                }
+            }
+        }
+        format!("{total} cores ({services} services, {batch} batch)")
+    }
+
     /// Machines and queues, as text for operators.
     pub fn describe(&self, now: Instant) -> String {
         let mut text = format!("{}\n", self.summary());
