--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -7,9 +7,9 @@
 use super::machines::Amounts;
 use super::placement::allowed;
 use super::{Action, Job, Machine, Shard};
+use crate::protocol::MachineId;
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
-use crate::protocol::{JobId, MachineId};
 
 /// Most machines in one rental request.
 const MOST_PER_RENTAL: u32 = 50;
@@ -25,6 +25,9 @@
 const BOOT_MARGIN: f64 = 1.2;
 /// A machine that comes this much too late is worth half as much.
 const LATE_DOUBLES_S: f64 = 30.0;
+/// How long work that can wait may still use costly machines after the last
+/// time that some of it couldn't.
+const PRESSURE: Duration = Duration::from_secs(20);
 /// Pause between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// How long arrivals are remembered to foresee the next ones.
@@ -94,21 +97,15 @@
     next_booking: u64,
     last_plan: Option<Instant>,
     classes: BTreeMap<String, ClassHistory>,
-    /// Tasks of jobs that would start too late if they waited for cheap room.
-    urgent: HashMap<JobId, u32>,
+    /// When some job last would have started too late on cheap room alone.
+    pressed: Option<Instant>,
 }
 
 impl Fleet {
-    /// Whether a job has tasks that are worth a costly place.
-    pub fn is_urgent(&self, job: &JobId) -> bool {
-        self.urgent.get(job).is_some_and(|count| *count > 0)
-    }
-
-    /// A task of a job got a costly place.
-    pub fn urgent_placed(&mut self, job: &JobId) {
-        if let Some(count) = self.urgent.get_mut(job) {
-            *count = count.saturating_sub(1);
-        }
+    /// Whether work lately couldn't wait for cheap room alone.
+    pub fn under_pressure(&self, now: Instant) -> bool {
+        self.pressed
+            .is_some_and(|at| now.saturating_duration_since(at) < PRESSURE)
     }
 
     /// Remembers a job that was accepted at a moment not long before `now`.
@@ -437,6 +434,7 @@
     fn plan(&mut self, now: Instant) {
         let mut bins = self.bins(now);
         let demands = self.demands(&bins, now);
+        let pressed = self.fleet.under_pressure(now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
         // A new machine is shared with the jobs of the class that follow.
         let mut class_left: HashMap<String, u32> = HashMap::new();
@@ -454,7 +452,7 @@
                 if left == 0 {
                     break;
                 }
-                let too_costly = bin.costly && demand.offers == Offers::SpotOnly;
+                let too_costly = bin.costly && !pressed && demand.offers == Offers::SpotOnly;
                 if too_costly || !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
@@ -638,7 +636,7 @@
     /// What waits, what is likely to come, and what is guaranteed.
     fn demands(&mut self, bins: &[Bin], now: Instant) -> Vec<Demand> {
         let mut demands = Vec::new();
-        let mut urgent_tasks = HashMap::new();
+        let mut pressed = false;
         let wall = super::placement::wall_ms();
         let mut usage = self.usage();
         let mut jobs: Vec<_> = self
@@ -661,8 +659,12 @@
                 usage.add(&job.spec);
                 count += 1;
             }
-            let urgent = self.urgent(job, count, &mut queued, bins, wall);
-            urgent_tasks.insert(job.id.clone(), urgent);
+            if job.spec.kind == JobKind::Batch {
+                queued += f64::from(count) * job.spec.cores * job.spec.duration_s * ESTIMATE_MARGIN;
+            }
+            let cheap = bins.iter().filter(|bin| !bin.costly);
+            pressed |= self.urgent(job, count, queued, cheap, wall) > 0;
+            let urgent = self.urgent(job, count, queued, bins.iter(), wall);
             for (count, offers) in [(urgent, Offers::Any), (count - urgent, Offers::SpotOnly)] {
                 if count > 0 {
                     demands.push(Demand {
@@ -677,22 +679,33 @@
         }
         self.foreseen(&mut demands, now);
         self.guaranteed(&mut demands);
-        self.fleet.urgent = urgent_tasks;
+        if pressed {
+            self.fleet.pressed = Some(now);
+        }
         demands
     }
 
     /// How many of a job's waiting tasks would start too late if they had to
-    /// wait for the room there is. `queued` is the work ahead of them, in
-    /// core-seconds, and grows by theirs.
-    fn urgent(&self, job: &Job, waiting: u32, queued: &mut f64, bins: &[Bin], wall: u64) -> u32 {
+    /// wait for these bins. `queued` is the work up to and with theirs, in
+    /// core-seconds.
+    fn urgent<'a>(
+        &self,
+        job: &Job,
+        waiting: u32,
+        queued: f64,
+        bins: impl Iterator<Item = &'a Bin>,
+        wall: u64,
+    ) -> u32 {
         let spec = &job.spec;
         if spec.kind != JobKind::Batch || spec.duration_s <= 0.0 || !spec.spot {
             return waiting;
         }
         let run = spec.duration_s * ESTIMATE_MARGIN;
+        let Some(slack) = self.slack(job, run, wall) else {
+            return waiting;
+        };
         let room: f64 = bins
-            .iter()
-            .filter(|bin| !bin.costly && allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
+            .filter(|bin| allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
             .map(|bin| {
                 let running: f64 = bin
                     .yielding
@@ -703,21 +716,13 @@
                 bin.free.cores.max(0.0) + running
             })
             .sum();
-        let work = f64::from(waiting) * spec.cores * run;
-        *queued += work;
-        let Some(slack) = self.slack(job, run, wall) else {
-            return waiting;
-        };
         if room < spec.cores {
             // Nothing to wait for yet: ask for spot machines, and for others
-            // once half of the patience is gone.
-            return if slack > run * 0.5 && slack > PATIENT_ENOUGH_S {
-                0
-            } else {
-                waiting
-            };
+            // when time runs short.
+            let patient = slack > run * 0.5 && slack > PATIENT_ENOUGH_S;
+            return if patient { 0 } else { waiting };
         }
-        let last_start = ((*queued - room * run) / room).max(0.0);
+        let last_start = ((queued - room * run) / room).max(0.0);
         if last_start <= slack {
             0
         } else {
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -155,7 +155,7 @@
                     machine_type: m.machine_type.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
-                    costly: self.costly(m, now),
+                    costly: self.costly(m, now) && !self.fleet.under_pressure(now),
                     free: m.free(kind),
                     reserved: reserved.get(&m.id).copied().unwrap_or_default(),
                 })
@@ -271,9 +271,6 @@
                 break;
             };
             slots[at].free.take(&spec);
-            if slots[at].costly {
-                self.fleet.urgent_placed(id);
-            }
             usage.add(&spec);
             self.launch(id, index, &machine, now);
             placed += 1;
@@ -342,12 +339,9 @@
             .map(|(at, _)| at)
     }
 
-    /// Work that may run on spot machines and has time waits for them.
+    /// Work that may run on spot machines waits for them while it has time.
     pub(super) fn worth_it(&self, job: &Job, slot: &Slot) -> bool {
-        !slot.costly
-            || !job.spec.spot
-            || job.spec.kind == JobKind::Standing
-            || self.fleet.is_urgent(&job.id)
+        !slot.costly || !job.spec.spot || job.spec.kind == JobKind::Standing
     }
 
     /// How many tasks of a job may exist in each zone.
