--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -16,27 +16,31 @@
 /// Machines fuller than this are left alone.
 const MOST_FILL: f64 = 0.6;
 
+/// Machines that are emptied at once.
+const MOST_AT_ONCE: usize = 4;
+
 impl Shard {
-    /// Goes on with the machine being emptied, or picks one.
+    /// Goes on with the machine that services leave, or picks the next one.
+    /// What else runs on those picked before ends by itself.
     pub(super) fn consolidate(&mut self, bins: &[Bin], now: Instant) {
-        let current = self
+        let draining: Vec<&Machine> = self
             .machines
             .values()
-            .find(|m| m.draining && !m.deleting)
-            .map(|m| m.id.clone());
-        match current {
-            Some(id) => self.move_one_service(&id, bins),
-            None => {
-                if let Some(id) = self.emptiest(bins, now) {
-                    if let Some(machine) = self.machines.get_mut(&id) {
-                        tracing::info!(machine = %id, "emptying a little used machine");
-                        machine.draining = true;
-                    }
-                    self.move_one_service(&id, bins);
-                } else if self.policy.holds_capacity() {
-                    self.bring_one_near(bins);
-                }
+            .filter(|m| m.draining && !m.deleting)
+            .collect();
+        if let Some(current) = draining.iter().find(|m| hosts_services(m)) {
+            let id = current.id.clone();
+            self.move_one_service(&id, bins);
+        } else if draining.len() < MOST_AT_ONCE
+            && let Some(id) = self.emptiest(bins, now)
+        {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                tracing::info!(machine = %id, "emptying a little used machine");
+                machine.draining = true;
             }
+            self.move_one_service(&id, bins);
+        } else if self.policy.holds_capacity() {
+            self.bring_one_near(bins);
         }
     }
 
@@ -249,17 +253,17 @@
     /// the one being emptied: the fullest of services first.
     pub(super) fn reserved_for_moves(&self) -> HashMap<MachineId, Amounts> {
         let mut reserved = HashMap::new();
-        let Some(leaving) = self.machines.values().find(|m| m.draining && !m.deleting) else {
+        let Some(leaving) = self
+            .machines
+            .values()
+            .find(|m| m.draining && !m.deleting && hosts_services(m))
+        else {
             return reserved;
         };
         let mut hosts: Vec<(&Machine, Amounts)> = self
             .machines
             .values()
-            .filter(|m| {
-                !m.draining
-                    && !m.deleting
-                    && m.attempts.values().any(|a| !a.ended() && is_standing(a))
-            })
+            .filter(|m| !m.draining && !m.deleting && hosts_services(m))
             .filter_map(|m| Some((m, self.beside_services(m)?)))
             .collect();
         hosts.sort_by(|a, b| a.1.cores.total_cmp(&b.1.cores).then(a.0.id.cmp(&b.0.id)));
@@ -286,6 +290,13 @@
     }
 }
 
+pub(super) fn hosts_services(machine: &Machine) -> bool {
+    machine
+        .attempts
+        .values()
+        .any(|attempt| !attempt.ended() && is_standing(attempt))
+}
+
 fn is_standing(attempt: &super::Attempt) -> bool {
     attempt
         .spec
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -558,13 +558,7 @@
         !machine.spot
             && !paid
             && !self.policy.holds_capacity()
-            && !machine.attempts.values().any(|attempt| {
-                !attempt.ended()
-                    && attempt
-                        .spec
-                        .as_ref()
-                        .is_some_and(|spec| spec.kind == JobKind::Standing)
-            })
+            && !super::drain::hosts_services(machine)
     }
 
     fn bins(&self, now: Instant) -> Vec<Bin> {
