--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -17,7 +17,7 @@
 const MOST_FILL: f64 = 0.6;
 
 /// Machines that are emptied at once.
-const MOST_AT_ONCE: usize = 4;
+const MOST_AT_ONCE: usize = 1;
 
 impl Shard {
     /// Goes on with the machine that services leave, or picks the next one.
