A new session's lease is its own: a task on a machine that came back ran twice

A machine out of reach at a take-over came back in a new session and was heard first through a probe's answer; its lease was still reckoned from the take-over, so its fresh tasks were taken for gone and started again elsewhere. Now every new session sets its own lease, and a session that is over gets nothing more. The random world reproduces it once reports may go astray and cuts outlast leases; two scripted tests hold it.

--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -241,7 +241,9 @@
     pub fn open(&self, now: Instant, suspect: Duration) -> bool {
         self.synced
             && self.admitted
-            && self.session.is_some()
+            && self
+                .session
+                .is_some_and(|session| session > self.dead_sessions)
             && !self.deleting
             && !self.condemned
             && !self.draining
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -58,6 +58,7 @@
         if self.gone.contains_key(report.machine.as_str()) {
             return;
         }
+        let lease_over = now + self.policy.lease_surely_over();
         let machine = self.adopt(report, now);
         let id = machine.id.clone();
         if report.session <= machine.dead_sessions {
@@ -74,6 +75,11 @@
         machine.unanswered = 0;
         let new_session = machine.session != Some(report.session);
         let had_session = machine.session.is_some();
+        if new_session {
+            // Its lease runs from when it began, which was before now; what we
+            // reckoned with so far was an earlier session's.
+            machine.lease_over = machine.lease_over.max(lease_over);
+        }
         machine.session = Some(report.session);
         machine.seq = report.seq;
         if new_session && had_session {
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -386,6 +386,54 @@
     );
 }
 
+/// Found on a random day: a machine that was out of reach at a take-over came
+/// back in a new session, was heard through a probe's answer only, and its
+/// tasks were taken for gone because its former session's lease was over.
+#[test]
+fn a_new_sessions_lease_is_its_own() {
+    // Two silent machines: much is silent, so that none is given back.
+    let mut script = Script::new(Loaded {
+        roster: vec![roster("vm-1"), roster("vm-2")],
+        ..Loaded::default()
+    });
+    for probe in script.batches() {
+        script.answered(&probe, CommandOutcome::NoAnswer);
+    }
+    script.pass(Duration::from_secs(26));
+    let probe = script.batches().remove(0);
+    script.now += Duration::from_millis(1900);
+    script.shard.tick(script.now);
+    script.settle();
+    let mut report = script.report_of("vm-1", TERM, Vec::new());
+    report.session = 2;
+    script.answered(&probe, CommandOutcome::Executed(report));
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    let line = listed("run-1/0", take_of(&batch.2), TaskState::Running, None);
+    let mut report = script.report_of("vm-1", TERM, vec![line]);
+    report.session = 2;
+    script.answered(&batch, CommandOutcome::Executed(report));
+    script.pass(Duration::from_secs(1));
+    assert!(script.launches().is_empty(), "the task is still there");
+    assert_eq!(script.shard.view("run-1").map(|v| v.2), Some(1));
+}
+
+/// A session whose lease is over gets nothing more: only a later one may.
+#[test]
+fn a_dead_session_gets_no_tasks() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    assert_eq!(script.launches().len(), 1);
+    // Silent until its lease is over. Its late report changes nothing.
+    script.pass(Duration::from_secs(28));
+    script.batches();
+    let late = script.report_of("vm-1", TERM, Vec::new());
+    script.shard.report(&late, script.now);
+    script.settle();
+    assert!(script.launches().is_empty());
+}
+
 #[test]
 fn a_team_limit_counts_what_may_exist() {
     let mut script = Script::new(Loaded::default());
