--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -493,6 +493,13 @@
             number,
             commands,
             ..
+        }
+        | Message::CommandAnswer {
+            owner,
+            machine,
+            number,
+            commands,
+            ..
         } = &message
             && delay > Duration::from_secs(2)
         {
