--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -34,6 +34,9 @@
 const RENEW_RETRY: Duration = Duration::from_millis(150);
 /// Advantage of the candidate that is nearest to the machines.
 const NEAREST_FIRST: Duration = Duration::from_millis(150);
+/// Disadvantage of a far candidate to whom no worker has come lately.
+const UNHEARD_LAST: Duration = Duration::from_millis(1000);
+const RECENT: Duration = Duration::from_secs(4);
 /// Disadvantage of a candidate that couldn't hear the workers.
 const DEAF_LAST: Duration = Duration::from_secs(4);
 
@@ -424,9 +427,19 @@
     if inner.deaf_until.is_some_and(|until| until > now) {
         return DEAF_LAST;
     }
-    match &inner.main_zone {
-        Some(zone) if *zone != node.settings.platform.area => NEAREST_FIRST,
-        _ => Duration::ZERO,
+    let far = inner
+        .main_zone
+        .as_ref()
+        .is_some_and(|zone| *zone != node.settings.platform.area);
+    // Workers that lost their owner come to whomever they can reach.
+    let heard = inner
+        .workers
+        .values()
+        .any(|at| now.saturating_duration_since(*at) < RECENT);
+    match (far, heard) {
+        (true, false) => UNHEARD_LAST,
+        (true, true) => NEAREST_FIRST,
+        (false, _) => Duration::ZERO,
     }
 }
 
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -23,6 +23,9 @@
 const DEAF_ROUNDS: u32 = 2;
 /// How long an owner stays at the least before it hands over to a nearer one.
 const LEAST_TENURE: Duration = Duration::from_secs(6);
+/// How long a new owner listens before it may call itself deaf: every machine
+/// was asked for a report at once.
+const LISTENING: Duration = Duration::from_secs(2);
 /// A peer's pulse older than this means that it can't be reached.
 const PULSE_FRESH: Duration = Duration::from_secs(3);
 /// Age up to which a hearing record counts.
@@ -232,6 +235,7 @@
     if workers == 0 || node.state_lost() {
         return;
     }
+    tracing::debug!(workers, "workers come here, and the owner can't be reached");
     let record = HearingRecord {
         v: VERSION,
         workers,
@@ -271,7 +275,7 @@
         let Some(own) = &inner.ownership else {
             return false;
         };
-        if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < LEAST_TENURE {
+        if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < LISTENING {
             return false;
         }
         let (heard, expected) = own.shard.hearing(now);
@@ -289,7 +293,14 @@
             .unwrap_or(0);
         (heard, by_pulse)
     };
-    by_pulse > heard || heard_elsewhere(node).await > heard
+    let by_record = heard_elsewhere(node).await;
+    tracing::debug!(
+        heard,
+        by_pulse,
+        by_record,
+        "this owner hears too few workers"
+    );
+    by_pulse > heard || by_record > heard
 }
 
 /// Whether a peer in the zone of most machines could run the shard instead.
