--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -25,6 +25,8 @@
 const BOOT_MARGIN: f64 = 1.2;
 /// A machine that comes this much too late is worth half as much.
 const LATE_DOUBLES_S: f64 = 30.0;
+/// Over how long the room that a priority finds is averaged.
+const ROOM_MEMORY: Duration = Duration::from_secs(60);
 /// How long work that can wait may still use costly machines after the last
 /// time that some of it couldn't.
 const PRESSURE: Duration = Duration::from_secs(20);
@@ -97,6 +99,8 @@
     next_booking: u64,
     last_plan: Option<Instant>,
     classes: BTreeMap<String, ClassHistory>,
+    /// Cheap room that each priority has found lately, in cores.
+    usual_room: BTreeMap<Priority, f64>,
     /// When some job last would have started too late on cheap room alone.
     pressed: Option<Instant>,
 }
@@ -433,6 +437,7 @@
     /// Compares the room that is wanted with the room there is.
     fn plan(&mut self, now: Instant) {
         let mut bins = self.bins(now);
+        self.note_room(&bins);
         let demands = self.demands(&bins, now);
         let pressed = self.fleet.under_pressure(now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
@@ -654,11 +659,12 @@
                 count += 1;
             }
             if job.spec.kind == JobKind::Batch {
-                queued += f64::from(count) * job.spec.cores * job.spec.duration_s * ESTIMATE_MARGIN;
+                queued += f64::from(count) * job.spec.cores * job.spec.duration_s;
             }
-            let cheap = bins.iter().filter(|bin| !bin.costly);
+            let cheap = self.usual_room(&job.spec, bins.iter().filter(|bin| !bin.costly));
             pressed |= self.urgent(job, count, queued, cheap, wall) > 0;
-            let urgent = self.urgent(job, count, queued, bins.iter(), wall);
+            let costly = room(&job.spec, bins.iter().filter(|bin| bin.costly));
+            let urgent = self.urgent(job, count, queued, cheap + costly, wall);
             for (count, offers) in [(urgent, Offers::Any), (count - urgent, Offers::SpotOnly)] {
                 if count > 0 {
                     demands.push(Demand {
@@ -679,17 +685,33 @@
         demands
     }
 
+    /// The cheap room that a priority finds: as it is now, or as it was lately
+    /// on average if that is more. Bursts of work that goes first come and go.
+    fn usual_room<'a>(&self, spec: &JobSpec, bins: impl Iterator<Item = &'a Bin>) -> f64 {
+        let usual = self.fleet.usual_room.get(&spec.priority).copied();
+        room(spec, bins).max(usual.unwrap_or(0.0))
+    }
+
+    /// Takes the room of the moment into the averages.
+    fn note_room(&mut self, bins: &[Bin]) {
+        let specs: BTreeMap<Priority, Arc<JobSpec>> = self
+            .jobs
+            .values()
+            .filter(|job| job.spec.kind == JobKind::Batch && job.spec.spot)
+            .map(|job| (job.spec.priority, job.spec.clone()))
+            .collect();
+        let weight = PLAN_EVERY.as_secs_f64() / ROOM_MEMORY.as_secs_f64();
+        for (priority, spec) in specs {
+            let now = room(&spec, bins.iter().filter(|bin| !bin.costly));
+            let usual = self.fleet.usual_room.entry(priority).or_insert(now);
+            *usual += (now - *usual) * weight;
+        }
+    }
+
     /// How many of a job's waiting tasks would start too late if they had to
-    /// wait for these bins. `queued` is the work up to and with theirs, in
+    /// wait for this room, in cores. `queued` is the work up to and with theirs, in
     /// core-seconds.
-    fn urgent<'a>(
-        &self,
-        job: &Job,
-        waiting: u32,
-        queued: f64,
-        bins: impl Iterator<Item = &'a Bin>,
-        wall: u64,
-    ) -> u32 {
+    fn urgent(&self, job: &Job, waiting: u32, queued: f64, room: f64, wall: u64) -> u32 {
         let spec = &job.spec;
         if spec.kind != JobKind::Batch || spec.duration_s <= 0.0 || !spec.spot {
             return waiting;
@@ -698,18 +720,6 @@
         let Some(slack) = self.slack(job, run, wall) else {
             return waiting;
         };
-        let room: f64 = bins
-            .filter(|bin| allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
-            .map(|bin| {
-                let running: f64 = bin
-                    .yielding
-                    .iter()
-                    .filter(|y| y.priority <= spec.priority)
-                    .map(|y| y.spec.cores)
-                    .sum();
-                bin.free.cores.max(0.0) + running
-            })
-            .sum();
         if room < spec.cores {
             // Nothing to wait for yet: ask for spot machines, and for others
             // when time runs short.
@@ -946,6 +956,22 @@
     }
 }
 
+/// Cores that a job's tasks can have of these bins, now or when what runs
+/// there without a higher priority has ended.
+fn room<'a>(spec: &JobSpec, bins: impl Iterator<Item = &'a Bin>) -> f64 {
+    bins.filter(|bin| allowed(spec, &bin.machine_type, &bin.zone, bin.spot))
+        .map(|bin| {
+            let running: f64 = bin
+                .yielding
+                .iter()
+                .filter(|task| task.priority <= spec.priority)
+                .map(|task| task.spec.cores)
+                .sum();
+            bin.free.cores.max(0.0) + running
+        })
+        .sum()
+}
+
 /// The batch tasks on a machine, lowest priority first.
 fn yielding(machine: &Machine) -> Vec<Yielding> {
     let mut tasks: Vec<Yielding> = machine
