--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -18,7 +18,7 @@
 /// Run times are often underestimated by this much.
 const ESTIMATE_MARGIN: f64 = 1.3;
 /// Share of a good wait that is used before machines are rented for it.
-const PATIENCE: f64 = 0.6;
+const PATIENCE: f64 = 0.8;
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
 /// Machines are often up later than usual by this much.
