--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -86,6 +86,7 @@
 /// A controller.
 pub struct Node {
     pub settings: Settings,
+    pub policy: Policy,
     pub clock: Arc<dyn Clock>,
     pub state: StateClient,
     pub http: HttpClient,
@@ -101,6 +102,7 @@
         let state = StateClient::new(settings.platform.services.state);
         let started = clock.now();
         Arc::new(Self {
+            policy: Policy::new(&settings),
             settings,
             clock,
             state,
@@ -561,8 +563,7 @@
             }
         }
     };
-    let policy = Policy::new(&node.settings);
-    let shard = Shard::take_over(policy, tenure.term, loaded, node.now());
+    let shard = Shard::take_over(node.policy.clone(), tenure.term, loaded, node.now());
     {
         let mut inner = node.lock();
         inner.ownership = Some(Ownership {
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -216,7 +216,7 @@
     let Some(types) = types else {
         return Ok(Reply::unavailable("the machine types are not known yet"));
     };
-    if let Some(reply) = never_runs(&Policy::new(&node.settings), &types, &spec) {
+    if let Some(reply) = never_runs(&node.policy, &types, &spec) {
         return Ok(reply);
     }
     let record = JobRecord {
