--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 pub mod io;
 pub mod lease;
 pub mod node;
+pub mod ownership;
 pub mod peering;
 pub mod requests;
 pub mod shard;
--- /dev/null
+++ b/src/coordination/ownership.rs
@@ -0,0 +1,405 @@
+//! Seeking the shard, holding it, and serving as its owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::{info, warn};
+
+use super::lease::{self, Sequence, Tenure};
+use super::node::{Node, Ownership, STATE_DEADLINE};
+use super::shard::{Loaded, LoadedMachine, Shard};
+use super::{io, peering};
+use crate::protocol::state::{Change, Item, News, Txn};
+use crate::storage::client::{StateError, TxnOutcome, backoff};
+use crate::storage::keys;
+use crate::storage::records::{JobRecord, OwnerRecord, SequenceRecord, VERSION};
+
+/// Pause between two looks at the shard's timers.
+const TICK: Duration = Duration::from_millis(200);
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(3);
+/// Pause between two tries to renew a hold in trouble.
+const RENEW_RETRY: Duration = Duration::from_millis(150);
+/// Advantage of the candidate that is nearest to the machines.
+const NEAREST_FIRST: Duration = Duration::from_millis(150);
+/// Disadvantage of a far candidate to whom no worker has come lately.
+const UNHEARD_LAST: Duration = Duration::from_millis(1000);
+const RECENT: Duration = Duration::from_secs(4);
+/// Disadvantage of a candidate that couldn't hear the workers.
+const DEAF_LAST: Duration = Duration::from_secs(4);
+
+/// Becomes the shard's owner whenever it has none, and serves as it.
+pub async fn seek_ownership(node: Arc<Node>) {
+    let mut attempt = 0;
+    loop {
+        match stand_by(&node).await {
+            Ok(()) => {
+                attempt = 0;
+                if let Some(tenure) = acquire(&node).await {
+                    serve(&node, tenure).await;
+                }
+            }
+            Err(error) => {
+                attempt += 1;
+                tracing::debug!(%error, "can't watch the shard's owner");
+                tokio::time::sleep(backoff(attempt)).await;
+            }
+        }
+    }
+}
+
+/// Waits until the shard has no owner and it is this node's turn to try.
+async fn stand_by(node: &Arc<Node>) -> Result<(), StateError> {
+    loop {
+        let (items, revision) = node
+            .state
+            .list(&keys::owner_prefix(), STATE_DEADLINE)
+            .await?;
+        let owner = items
+            .iter()
+            .find(|item| item.key == keys::owner())
+            .and_then(|item| serde_json::from_value::<OwnerRecord>(item.value.clone()).ok());
+        node.lock().seen_owner = owner.clone();
+        match owner {
+            None => {
+                let delay = candidate_delay(node);
+                if delay.is_zero() {
+                    return Ok(());
+                }
+                tokio::time::sleep(delay).await;
+                let (items, _) = node
+                    .state
+                    .list(&keys::owner_prefix(), STATE_DEADLINE)
+                    .await?;
+                if items.is_empty() {
+                    return Ok(());
+                }
+            }
+            Some(owner) if owner.label == node.label() && owner.run != node.run => {
+                // Our earlier process is certainly dead: nobody else has its
+                // label and addresses.
+                info!(
+                    hold = owner.hold,
+                    "ending the hold of this node's earlier run"
+                );
+                node.state.release(owner.hold, STATE_DEADLINE).await?;
+                node.lock().previous_run_ended = true;
+            }
+            Some(owner) if owner.label == node.label() => {
+                // A tenure that this run gave up, or an acquisition whose
+                // answer was lost and that came too late to be used.
+                node.state.release(owner.hold, STATE_DEADLINE).await?;
+            }
+            Some(_) => {
+                let page = node
+                    .state
+                    .follow(&keys::owner_prefix(), revision, WATCH)
+                    .await?;
+                for event in page.events {
+                    if let News::Delete { key, .. } = event
+                        && key == keys::owner()
+                    {
+                        node.lock().seen_owner = None;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn candidate_delay(node: &Arc<Node>) -> Duration {
+    let now = node.now();
+    if let Some(until) = node.may_not_seek() {
+        return until.saturating_duration_since(now) + Duration::from_millis(10);
+    }
+    let inner = node.lock();
+    if inner.deaf_until.is_some_and(|until| until > now) {
+        return DEAF_LAST;
+    }
+    let far = inner
+        .main_zone
+        .as_ref()
+        .is_some_and(|zone| *zone != node.settings.platform.area);
+    // Workers that lost their owner come to whomever they can reach.
+    let heard = inner
+        .workers
+        .values()
+        .any(|at| now.saturating_duration_since(*at) < RECENT);
+    match (far, heard) {
+        (true, false) => UNHEARD_LAST,
+        (true, true) => NEAREST_FIRST,
+        (false, _) => Duration::ZERO,
+    }
+}
+
+/// Raises the term; the tenure it returns is being renewed.
+async fn acquire(node: &Arc<Node>) -> Option<Arc<Tenure>> {
+    {
+        if node.may_not_seek().is_some() {
+            return None;
+        }
+        node.lock().acquiring = true;
+    }
+    let (tenure, settled) = try_acquire(node).await;
+    // Without a settled outcome no promise is given until the next try.
+    node.lock().acquiring = !settled;
+    tenure
+}
+
+/// A tenure if the shard is ours, and whether the outcome is surely known.
+async fn try_acquire(node: &Arc<Node>) -> (Option<Arc<Tenure>>, bool) {
+    let operator = &node.settings.operator;
+    let sent = node.now();
+    let Ok(hold) = node.state.hold(operator.lease(), STATE_DEADLINE).await else {
+        // A hold that nothing is attached to runs out unnoticed.
+        return (None, true);
+    };
+    let record = OwnerRecord {
+        v: VERSION,
+        label: node.label().to_owned(),
+        hold,
+        run: node.run,
+    };
+    let Ok(value) = serde_json::to_value(&record) else {
+        return (None, true);
+    };
+    let txn = Txn::default().guard(keys::owner(), 0).change(Change::Put {
+        key: keys::owner(),
+        value,
+        hold: Some(hold),
+    });
+    let term = match node.state.txn(&txn, STATE_DEADLINE).await {
+        Ok(TxnOutcome::Committed { revision }) => revision,
+        Ok(TxnOutcome::Conflict) => {
+            let _ = node.state.release(hold, STATE_DEADLINE).await;
+            return (None, true);
+        }
+        Err(error) => {
+            // It may be applied yet; ending the hold takes its record along,
+            // and standing by ends it again if this has no answer either.
+            warn!(%error, "the shard could not be acquired");
+            let released = node.state.release(hold, STATE_DEADLINE).await;
+            return (None, released.is_ok());
+        }
+    };
+    let until = lease::deadline(operator, sent);
+    let tenure = Arc::new(Tenure::new(hold, term, until, node.now()));
+    info!(term, hold, "shard acquired");
+    tokio::spawn(renew(node.clone(), tenure.clone()));
+    (Some(tenure), true)
+}
+
+/// Renews the hold until it has ended, on a connection of its own.
+async fn renew(node: Arc<Node>, tenure: Arc<Tenure>) {
+    let operator = &node.settings.operator;
+    let mut trouble = false;
+    while !tenure.ended() {
+        let sent = node.now();
+        let deadline = operator.renew().max(Duration::from_millis(500));
+        match node.state.renew(tenure.hold, deadline).await {
+            Ok(()) => {
+                tenure.renewed(lease::deadline(operator, sent));
+                if std::mem::take(&mut trouble) {
+                    info!(term = tenure.term, "hold renewed again");
+                }
+                let next = operator.renew();
+                tokio::select! {
+                    () = tokio::time::sleep(next) => {}
+                    () = tenure.end.notified() => {}
+                }
+            }
+            Err(StateError::HoldEnded) => {
+                warn!(term = tenure.term, "the hold has ended");
+                tenure.finish();
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut trouble, true) {
+                    warn!(term = tenure.term, %error, "the hold can't be renewed");
+                }
+                extend_by_promises(&node, &tenure).await;
+                tokio::time::sleep(RENEW_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Without the state service, an owner goes on as long as every other
+/// controller promises not to seek the shard.
+async fn extend_by_promises(node: &Arc<Node>, tenure: &Tenure) {
+    let time = peering::LONGEST_PROMISE;
+    let sent = node.now();
+    if tenure.live(sent) && peering::all_promise(node, time).await {
+        let margin = Duration::from_secs_f64(node.settings.operator.lease_margin_s).min(time / 4);
+        tenure.renewed(sent + time.mul_f64(0.998) - margin);
+    }
+}
+
+/// Owns the shard until the tenure ends.
+async fn serve(node: &Arc<Node>, tenure: Arc<Tenure>) {
+    let mut attempt = 0;
+    let (loaded, revision) = loop {
+        if tenure.ended() {
+            return;
+        }
+        match load(node, &tenure).await {
+            Ok(loaded) => break loaded,
+            Err(error) => {
+                attempt += 1;
+                warn!(term = tenure.term, %error, "the shard can't be loaded yet");
+                tokio::time::sleep(backoff(attempt)).await;
+            }
+        }
+    };
+    let shard = Shard::take_over(node.policy.clone(), tenure.term, loaded, node.now());
+    {
+        let mut inner = node.lock();
+        inner.ownership = Some(Ownership {
+            tenure: tenure.clone(),
+            shard,
+        });
+    }
+    let types = node.lock().types.clone();
+    node.with_shard(&tenure, |shard, _| {
+        if let Some(types) = types {
+            shard.set_types(&types);
+        }
+    });
+    tokio::spawn(watch_jobs(node.clone(), tenure.clone(), revision));
+    tokio::spawn(io::watch_cloud(node.clone(), tenure.clone()));
+    let mut ticks = 0_u64;
+    while !tenure.ended() {
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            () = tenure.end.notified() => {}
+        }
+        if tenure.live(node.now()) {
+            node.with_shard(&tenure, |shard, now| shard.tick(now));
+        }
+        ticks += 1;
+        if ticks.is_multiple_of(150)
+            && let Some(summary) = node.with_shard(&tenure, |shard, _| shard.summary())
+        {
+            info!(term = tenure.term, summary, "shard");
+        }
+    }
+    let mut inner = node.lock();
+    inner.ownership = None;
+    drop(inner);
+    info!(term = tenure.term, "shard given up");
+}
+
+/// Ends a tenure at once, so that another controller can begin.
+pub async fn step_down(node: &Arc<Node>, tenure: &Arc<Tenure>, why: &str) {
+    info!(term = tenure.term, why, "stepping down");
+    tenure.finish();
+    if let Err(error) = node.state.release(tenure.hold, STATE_DEADLINE).await {
+        warn!(%error, "the hold could not be ended; it runs out");
+    }
+}
+
+async fn load(node: &Arc<Node>, tenure: &Tenure) -> Result<(Loaded, u64), StateError> {
+    let state = &node.state;
+    let deadline = Duration::from_secs(2);
+    let (job_items, revision) = state.list(keys::JOBS, deadline).await?;
+    let (roster, _) = state.list(&keys::roster_prefix(), deadline).await?;
+    let (chunks, _) = state.list(&keys::snapshot_prefix(), deadline).await?;
+    let (bookings, _) = state.list(&keys::booking_prefix(), deadline).await?;
+    let sequence = match state.get(&keys::sequence(), deadline).await? {
+        Some(item) => Sequence {
+            version: item.version,
+            n: serde_json::from_value::<SequenceRecord>(item.value).map_or(0, |r| r.n),
+        },
+        None => Sequence::default(),
+    };
+    *tenure.sequence.lock().await = sequence;
+    let loaded = Loaded {
+        jobs: job_items.into_iter().filter_map(read_job).collect(),
+        roster: roster
+            .into_iter()
+            .filter_map(|item| {
+                let id = item.key.strip_prefix(&keys::roster_prefix())?.to_owned();
+                let record = read(&item)?;
+                Some(LoadedMachine { id, record })
+            })
+            .collect(),
+        chunks: chunks
+            .into_iter()
+            .map(|item| (item.key, item.value))
+            .collect(),
+        bookings: bookings.iter().filter_map(read).collect(),
+    };
+    Ok((loaded, revision))
+}
+
+fn read<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
+    match serde_json::from_value(item.value.clone()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            tracing::error!(key = item.key, %error, "a record can't be read");
+            None
+        }
+    }
+}
+
+fn read_job(item: Item) -> Option<(String, u64, JobRecord)> {
+    let id = item.key.strip_prefix(keys::JOBS)?.to_owned();
+    let record = read(&item)?;
+    Some((id, item.version, record))
+}
+
+/// Tells the shard of accepted and ended jobs.
+async fn watch_jobs(node: Arc<Node>, tenure: Arc<Tenure>, mut revision: u64) {
+    let mut attempt = 0;
+    while !tenure.ended() {
+        match node.state.follow(keys::JOBS, revision, WATCH).await {
+            Ok(page) => {
+                attempt = 0;
+                revision = page.revision.max(revision);
+                if page.events.is_empty() {
+                    continue;
+                }
+                node.with_shard(&tenure, |shard, now| {
+                    for event in page.events {
+                        match event {
+                            News::Put {
+                                key,
+                                value,
+                                version,
+                            } => {
+                                let item = Item {
+                                    key,
+                                    value,
+                                    version,
+                                    hold: None,
+                                };
+                                if let Some((id, mark, record)) = read_job(item) {
+                                    shard.job_put(&id, mark, record, now);
+                                }
+                            }
+                            News::Delete { key, .. } => {
+                                if let Some(id) = key.strip_prefix(keys::JOBS) {
+                                    shard.job_gone(id, None, now);
+                                }
+                            }
+                        }
+                    }
+                });
+            }
+            Err(StateError::TooOld) => match node.state.list(keys::JOBS, STATE_DEADLINE).await {
+                Ok((items, at)) => {
+                    revision = at;
+                    let jobs: Vec<_> = items.into_iter().filter_map(read_job).collect();
+                    node.with_shard(&tenure, |shard, now| shard.jobs_reread(jobs, at, now));
+                }
+                Err(_) => {
+                    attempt += 1;
+                    tokio::time::sleep(backoff(attempt)).await;
+                }
+            },
+            Err(_) => {
+                attempt += 1;
+                tokio::time::sleep(backoff(attempt)).await;
+            }
+        }
+    }
+}
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -6,7 +6,8 @@
 
 use hyper::Method;
 
-use super::node::{Node, PeerView, STATE_DEADLINE, step_down};
+use super::node::{Node, PeerView, STATE_DEADLINE};
+use super::ownership::step_down;
 use super::shard::wall_ms;
 use crate::protocol::peers::{PeerAnswer, PeerRequest, Pulse, decode_answer, encode_request};
 use crate::protocol::state::{Change, Txn};
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -4,9 +4,9 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::fleet::Bin;
 use super::machines::Amounts;
 use super::placement::allowed;
+use super::plan::Bin;
 use super::{Machine, Phase, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::users::JobKind;
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod machines;
 mod placement;
+mod plan;
 mod preemption;
 mod reports;
 mod writes;
