--- /dev/null
+++ b/src/coordination/shard/commands.rs
@@ -0,0 +1,333 @@
+//! Telling workers what to do, and when they must have forgotten it.
+
+use std::time::{Duration, Instant};
+
+use super::machines::{Attempt, Phase};
+use super::{Action, CommandOutcome, Shard};
+use crate::protocol::users::JobKind;
+use crate::protocol::workers::Command;
+use crate::protocol::{MachineId, TaskId};
+
+/// Pause before commands are sent again by themselves; reports carry them too.
+const RETRY: Duration = Duration::from_secs(1);
+
+impl Shard {
+    /// Takes back launches that were never sent and are not wanted any more.
+    pub(super) fn withdraw_launches(&mut self, now: Instant) {
+        let withdrawn: Vec<(MachineId, (TaskId, u64))> = self
+            .machines
+            .values()
+            .flat_map(|machine| {
+                machine
+                    .attempts
+                    .iter()
+                    .filter(|(_, a)| {
+                        a.phase == Phase::Launching
+                            && a.stop.is_some()
+                            && !a.in_flight
+                            && !a.unanswered
+                    })
+                    .map(|(key, _)| (machine.id.clone(), key.clone()))
+            })
+            .collect();
+        for (machine, key) in withdrawn {
+            self.remove_attempt(&machine, &key, now);
+        }
+    }
+
+    /// Sends what each machine has not been told yet.
+    pub(super) fn flush_commands(&mut self, now: Instant) {
+        let ids: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| {
+                m.synced
+                    && m.command.is_none()
+                    && !m.deleting
+                    && m.command_retry.is_none_or(|at| at <= now)
+                    && m.attempts.values().any(needs_telling)
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            self.send_commands(&id);
+        }
+    }
+
+    fn send_commands(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(session) = machine.session else {
+            return;
+        };
+        let mut commands = Vec::new();
+        // Clears first, so that what they free can be used by the launches.
+        for ((task, take), attempt) in &mut machine.attempts {
+            if clear_allowed(attempt) {
+                commands.push(Command::Clear {
+                    task: task.clone(),
+                    attempt: *take,
+                });
+            }
+        }
+        for ((task, take), attempt) in &mut machine.attempts {
+            if let Some(grace) = stop_to_send(attempt) {
+                commands.push(stop(task, *take, grace));
+                attempt.in_flight = true;
+            }
+        }
+        for ((task, take), attempt) in &mut machine.attempts {
+            if attempt.phase == Phase::Launching && !attempt.unanswered && attempt.stop.is_none() {
+                commands.push(Command::Launch {
+                    task: task.clone(),
+                    attempt: *take,
+                });
+                attempt.in_flight = true;
+            }
+        }
+        self.next_command += 1;
+        machine.command = Some(self.next_command);
+        machine.command_retry = None;
+        self.out.push(Action::Command {
+            machine: id.clone(),
+            addr: machine.addr.clone(),
+            session,
+            number: self.next_command,
+            commands,
+        });
+    }
+
+    /// Sends an empty batch: it raises the worker's term and returns a report.
+    pub(super) fn probe(&mut self, id: &MachineId, session: u64) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.command.is_some() || machine.addr.is_empty() {
+            return;
+        }
+        self.next_command += 1;
+        machine.command = Some(self.next_command);
+        machine.command_retry = None;
+        self.out.push(Action::Command {
+            machine: id.clone(),
+            addr: machine.addr.clone(),
+            session,
+            number: self.next_command,
+            commands: Vec::new(),
+        });
+    }
+
+    /// Probes machines that have not shown our term yet, and silent ones.
+    pub(super) fn probe_unsynced(&mut self, now: Instant) {
+        let due: Vec<(MachineId, u64)> = self
+            .machines
+            .values()
+            .filter(|m| {
+                let quiet = m.silence(now) > self.policy.report.mul_f64(1.5);
+                (!m.synced || quiet)
+                    && m.should_report()
+                    && m.command.is_none()
+                    && m.command_retry.is_none_or(|at| at <= now)
+            })
+            .map(|m| (m.id.clone(), m.session.unwrap_or(1)))
+            .collect();
+        for (id, session) in due {
+            self.probe(&id, session);
+        }
+    }
+
+    pub(super) fn retry_commands(&mut self, now: Instant) {
+        for machine in self.machines.values_mut() {
+            if machine.command_retry.is_some_and(|at| at <= now) {
+                machine.command_retry = None;
+            }
+        }
+    }
+
+    /// A batch of commands was answered, or was given up.
+    pub fn command_answered(
+        &mut self,
+        id: &MachineId,
+        number: u64,
+        sent: &[Command],
+        outcome: CommandOutcome,
+        now: Instant,
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.command == Some(number) {
+            machine.command = None;
+        }
+        let executed = matches!(outcome, CommandOutcome::Executed(_));
+        let lost = matches!(outcome, CommandOutcome::NoAnswer);
+        for command in sent {
+            let (task, take) = match command {
+                Command::Launch { task, attempt }
+                | Command::Stop { task, attempt, .. }
+                | Command::Clear { task, attempt } => (task, attempt),
+            };
+            let Some(attempt) = machine.attempts.get_mut(&(task.clone(), *take)) else {
+                continue;
+            };
+            attempt.in_flight = false;
+            match command {
+                Command::Launch { .. } if lost => attempt.unanswered = true,
+                Command::Stop { grace_s, .. } if executed => {
+                    let grace = Duration::from_secs_f64(grace_s.max(0.0));
+                    attempt.stop_sent = attempt.stop.is_some_and(|wanted| wanted >= grace);
+                }
+                _ => {}
+            }
+        }
+        match outcome {
+            CommandOutcome::Executed(report) | CommandOutcome::Refused(report) => {
+                self.apply_report(&report, now);
+                if executed {
+                    self.settle_launches(id, sent, now);
+                }
+            }
+            CommandOutcome::NotSent | CommandOutcome::NoAnswer => {
+                machine.command_retry = Some(now + RETRY);
+                machine.unanswered += 1;
+            }
+        }
+        self.restless = true;
+    }
+
+    /// After an executed batch, a launch that its report does not show (and
+    /// that no later report showed) has come and gone.
+    fn settle_launches(&mut self, id: &MachineId, sent: &[Command], now: Instant) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let missing: Vec<(TaskId, u64)> = sent
+            .iter()
+            .filter_map(|command| match command {
+                Command::Launch { task, attempt } => Some((task.clone(), *attempt)),
+                _ => None,
+            })
+            .filter(|key| {
+                machine
+                    .attempts
+                    .get(key)
+                    .is_some_and(|a| a.phase == Phase::Launching && !a.unanswered)
+            })
+            .collect();
+        for key in missing {
+            self.remove_attempt(id, &key, now);
+        }
+    }
+
+    /// Takes an attempt that can't exist any more off the books.
+    pub(super) fn remove_attempt(&mut self, id: &MachineId, key: &(TaskId, u64), now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(attempt) = machine.attempts.remove(key) else {
+            return;
+        };
+        if !machine.busy() {
+            machine.idle_since.get_or_insert(now);
+        }
+        if !attempt.ended() {
+            self.release(id, &key.0);
+        }
+        self.restless = true;
+    }
+
+    /// A task may start elsewhere: its attempt here has ended or is gone.
+    pub(super) fn release(&mut self, id: &MachineId, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            if job.live.get(&task.index) == Some(id) {
+                job.live.remove(&task.index);
+            }
+            let job_id = job.id.clone();
+            self.drop_job_if_empty(&job_id);
+        }
+        self.restless = true;
+    }
+
+    /// The machine holds nothing any more: its session or it itself is gone.
+    pub(super) fn empty_machine(&mut self, id: &MachineId, now: Instant) {
+        let keys: Vec<(TaskId, u64)> = match self.machines.get(id) {
+            Some(machine) => machine.attempts.keys().cloned().collect(),
+            None => return,
+        };
+        for key in keys {
+            self.remove_attempt(id, &key, now);
+        }
+        if self.unresolved.remove(id) && self.unresolved.is_empty() {
+            tracing::info!(
+                term = self.term,
+                "every machine of the roster is accounted for"
+            );
+        }
+        self.restless = true;
+    }
+
+    /// Ends the sessions whose leases are surely over.
+    pub(super) fn expire_leases(&mut self, now: Instant) {
+        let over: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| now > m.lease_over && (m.busy() || self.unresolved.contains(&m.id)))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in over {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                if let Some(session) = machine.session {
+                    machine.dead_sessions = machine.dead_sessions.max(session);
+                }
+                tracing::info!(machine = %id, "worker lease over");
+            }
+            self.empty_machine(&id, now);
+        }
+    }
+
+    /// Whether a batch task can't be expected to end before a notice does.
+    pub(super) fn hopeless(attempt: &Attempt, left: Duration, now: Instant) -> bool {
+        let Some(spec) = &attempt.spec else {
+            return false;
+        };
+        if spec.kind == JobKind::Standing {
+            return true;
+        }
+        let ran = attempt
+            .running_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        spec.duration().saturating_sub(ran) > left * 2
+    }
+}
+
+/// Whether a machine should hear of an attempt by `/commands` now.
+fn needs_telling(attempt: &Attempt) -> bool {
+    if attempt.in_flight {
+        return false;
+    }
+    match attempt.phase {
+        Phase::Launching => !attempt.unanswered && attempt.stop.is_none(),
+        Phase::Ended(_) => false,
+        _ => stop_to_send(attempt).is_some(),
+    }
+}
+
+pub(super) fn stop_to_send(attempt: &Attempt) -> Option<Duration> {
+    if attempt.ended() || attempt.phase == Phase::Launching || attempt.stop_sent {
+        return None;
+    }
+    attempt.stop
+}
+
+pub(super) fn clear_allowed(attempt: &Attempt) -> bool {
+    attempt.ended() && attempt.clearable && !attempt.unanswered && !attempt.in_flight
+}
+
+pub(super) fn stop(task: &TaskId, take: u64, grace: Duration) -> Command {
+    Command::Stop {
+        task: task.clone(),
+        attempt: take,
+        grace_s: grace.as_secs_f64(),
+    }
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -4,6 +4,7 @@
 //! outside comes out as [`Action`]s. Nothing here waits or talks.
 
 mod cluster;
+mod commands;
 mod drain;
 mod fleet;
 mod jobs;
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::machines::{clear_allowed, stop, stop_to_send};
+use super::commands::{clear_allowed, stop, stop_to_send};
 use super::{Action, Attempt, Machine, Phase, Shard};
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
