A slow state service no longer takes the shard from its owner

Each renewal was given up after 0.5 s and the next one waited for that, so none succeeded; all worker leases ended. Now renewals overlap and may take as long as the lease; submissions that take long are also asked of a peer; a deaf controller is no target for a hand-over.

--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -22,6 +22,8 @@
     pub hold: u64,
     pub term: u64,
     deadline: Mutex<Instant>,
+    /// When the last renewal that succeeded was sent.
+    renewed: Mutex<Instant>,
     ended: AtomicBool,
     pub since: Instant,
     /// Woken when the tenure ends.
@@ -49,6 +51,7 @@
             hold,
             term,
             deadline: Mutex::new(deadline),
+            renewed: Mutex::new(since),
             ended: AtomicBool::new(false),
             since,
             end: Notify::new(),
@@ -72,11 +75,25 @@
         self.end.notify_waiters();
     }
 
-    /// A renewal sent then has succeeded.
-    pub fn renewed(&self, until: Instant) {
+    /// A renewal sent then has succeeded; it entitles until a deadline.
+    pub fn renewed(&self, sent: Instant, until: Instant) {
+        let mut renewed = self.renewed.lock().unwrap_or_else(|e| e.into_inner());
+        *renewed = (*renewed).max(sent);
+        drop(renewed);
+        self.extended(until);
+    }
+
+    /// The owner may act until then.
+    pub fn extended(&self, until: Instant) {
         let mut deadline = self.deadline.lock().unwrap_or_else(|e| e.into_inner());
         *deadline = (*deadline).max(until);
     }
+
+    /// Time since the last renewal that succeeded was sent.
+    pub fn unrenewed(&self, now: Instant) -> Duration {
+        let renewed = self.renewed.lock().unwrap_or_else(|e| e.into_inner());
+        now.saturating_duration_since(*renewed)
+    }
 }
 
 #[cfg(test)]
@@ -96,7 +113,11 @@
         // An outage past the deadline, then a renewal that succeeds: the hold
         // never ended, so the same term goes on.
         let late = sent + Duration::from_secs(30);
-        tenure.renewed(deadline(&operator, late));
+        tenure.renewed(late, deadline(&operator, late));
+        assert_eq!(
+            tenure.unrenewed(late + Duration::from_secs(1)),
+            Duration::from_secs(1)
+        );
         assert!(tenure.live(late + Duration::from_secs(1)));
         tenure.finish();
         assert!(!tenure.live(late + Duration::from_secs(1)));
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -22,7 +22,7 @@
 use crate::transport::{front, internal};
 
 /// Deadline of ordinary state requests.
-pub const STATE_DEADLINE: Duration = Duration::from_millis(1000);
+pub const STATE_DEADLINE: Duration = Duration::from_millis(2500);
 
 /// Why the process ends.
 #[derive(Debug, Error)]
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -18,6 +18,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// How long one watch waits.
 const WATCH: Duration = Duration::from_secs(3);
+/// Share of the lease without a renewal past which an owner sees trouble.
+const TROUBLE: f64 = 0.6;
 /// Pause between two tries to renew a hold in trouble.
 const RENEW_RETRY: Duration = Duration::from_millis(150);
 /// Advantage of the candidate that is nearest to the machines.
@@ -189,38 +191,66 @@
     (Some(tenure), true)
 }
 
-/// Renews the hold until it has ended, on a connection of its own.
+/// Renews the hold until it has ended, on connections of its own. The next
+/// renewal doesn't wait for the answer to the last: a slow state service must
+/// not take the shard from an owner that it serves.
 async fn renew(node: Arc<Node>, tenure: Arc<Tenure>) {
     let operator = &node.settings.operator;
+    let most_open = (operator.lease_s / operator.renew_s).ceil() as usize;
+    let mut open = tokio::task::JoinSet::new();
     let mut trouble = false;
     while !tenure.ended() {
-        let sent = node.now();
-        let deadline = operator.renew().max(Duration::from_millis(500));
-        match node.state.renew(tenure.hold, deadline).await {
-            Ok(()) => {
-                tenure.renewed(lease::deadline(operator, sent));
-                if std::mem::take(&mut trouble) {
-                    info!(term = tenure.term, "hold renewed again");
-                }
-                let next = operator.renew();
-                tokio::select! {
-                    () = tokio::time::sleep(next) => {}
-                    () = tenure.end.notified() => {}
-                }
-            }
-            Err(StateError::HoldEnded) => {
-                warn!(term = tenure.term, "the hold has ended");
-                tenure.finish();
-            }
-            Err(error) => {
-                if !std::mem::replace(&mut trouble, true) {
-                    warn!(term = tenure.term, %error, "the hold can't be renewed");
+        if open.len() < most_open {
+            open.spawn(renew_once(node.clone(), tenure.clone()));
+        }
+        // Answers that come within the usual pause; late ones count as well.
+        let mut refused = false;
+        let pause = tokio::time::sleep(operator.renew());
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                () = &mut pause => break,
+                () = tenure.end.notified() => break,
+                Some(result) = open.join_next() => {
+                    if matches!(result, Ok(Err(StateError::Refused(_)))) {
+                        refused = true;
+                        break;
+                    }
                 }
-                extend_by_promises(&node, &tenure).await;
-                tokio::time::sleep(RENEW_RETRY).await;
             }
         }
+        let now = node.now();
+        let was = trouble;
+        let unrenewed = tenure.unrenewed(now);
+        trouble = unrenewed > operator.lease().mul_f64(TROUBLE)
+            || (was && unrenewed > operator.renew() * 3);
+        if trouble && !was {
+            warn!(term = tenure.term, refused, "the hold can't be renewed");
+        } else if was && !trouble {
+            info!(term = tenure.term, "hold renewed again");
+        }
+        if trouble {
+            extend_by_promises(&node, &tenure).await;
+        }
+        if refused {
+            tokio::time::sleep(RENEW_RETRY).await;
+        }
+    }
+}
+
+async fn renew_once(node: Arc<Node>, tenure: Arc<Tenure>) -> Result<(), StateError> {
+    let operator = &node.settings.operator;
+    let sent = node.now();
+    let result = node.state.renew(tenure.hold, operator.lease()).await;
+    match &result {
+        Ok(()) => tenure.renewed(sent, lease::deadline(operator, sent)),
+        Err(StateError::HoldEnded) if !tenure.ended() => {
+            warn!(term = tenure.term, "the hold has ended");
+            tenure.finish();
+        }
+        Err(_) => {}
     }
+    result
 }
 
 /// Without the state service, an owner goes on as long as every other
@@ -230,7 +260,7 @@
     let sent = node.now();
     if tenure.live(sent) && peering::all_promise(node, time).await {
         let margin = Duration::from_secs_f64(node.settings.operator.lease_margin_s).min(time / 4);
-        tenure.renewed(sent + time.mul_f64(0.998) - margin);
+        tenure.extended(sent + time.mul_f64(0.998) - margin);
     }
 }
 
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -17,6 +17,8 @@
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
+/// For the look at the state service: what takes longer counts as a failure.
+const PROBE_DEADLINE: Duration = Duration::from_millis(1000);
 const PULSE_DEADLINE: Duration = Duration::from_millis(700);
 /// How long a worker that came by counts as heard.
 const HEARD: Duration = Duration::from_secs(8);
@@ -117,6 +119,7 @@
         up_s: now.saturating_duration_since(node.started).as_secs(),
         term,
         main_zone: inner.main_zone.clone(),
+        deaf: inner.deaf_until.is_some_and(|until| until > now),
     }
 }
 
@@ -151,7 +154,7 @@
         // A look at the state service keeps this node's picture of it fresh.
         let probing = node.clone();
         tokio::spawn(async move {
-            let _ = probing.state.get(&keys::owner(), STATE_DEADLINE).await;
+            let _ = probing.state.get(&keys::owner(), PROBE_DEADLINE).await;
         });
         tokio::time::sleep(ROUND).await;
         tell_hearing(&node).await;
@@ -317,6 +320,7 @@
             now.saturating_duration_since(view.at) < Duration::from_secs(2)
                 && view.pulse.zone == *main
                 && view.pulse.state_served
+                && !view.pulse.deaf
                 && view.pulse.up_s > LEAST_TENURE.as_secs() / 2
         })
 }
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -22,7 +22,9 @@
 use crate::storage::records::{FinalRecord, JobRecord, VERSION};
 
 /// Deadline of one request to the state service on a user's behalf.
-const STORE: Duration = Duration::from_millis(700);
+const STORE: Duration = Duration::from_millis(1500);
+/// After this long without the store's answer, a peer is asked as well.
+const HEDGE: Duration = Duration::from_millis(300);
 /// Deadline of a request handed to a peer.
 const FORWARD: Duration = Duration::from_millis(900);
 /// Tries after a 429, which only means that others are being served.
@@ -123,25 +125,46 @@
             return hand_on(node, &ask).await;
         }
     }
-    let result = match (&ask, submission) {
-        (Ask::Submit(_), Some((id, spec))) => submit(node, &id, spec).await,
-        (Ask::Poll(id), _) => poll(node, id).await,
-        (Ask::Cancel(id), _) => cancel(node, id).await,
-        (Ask::Submit(_), None) => return Reply::malformed("not a submission", None),
+    let own = async {
+        match (&ask, submission) {
+            (Ask::Submit(_), Some((id, spec))) => submit(node, &id, spec).await,
+            (Ask::Poll(id), _) => poll(node, id).await,
+            (Ask::Cancel(id), _) => cancel(node, id).await,
+            (Ask::Submit(_), None) => Ok(Reply::malformed("not a submission", None)),
+        }
+    };
+    if forwarded {
+        return own.await.unwrap_or_else(|error| unanswered(&error));
+    }
+    tokio::pin!(own);
+    // All of these can be asked twice: whoever answers first will do.
+    let hedge = async {
+        tokio::time::sleep(HEDGE).await;
+        hand_on(node, &ask).await
     };
-    match result {
-        Ok(reply) => reply,
-        Err(error) => {
-            debug!(%error, "a user's request can't be answered from the store");
-            if forwarded {
-                Reply::unavailable("the state service does not answer")
-            } else {
-                hand_on(node, &ask).await
+    tokio::pin!(hedge);
+    tokio::select! {
+        result = &mut own => match result {
+            Ok(reply) => reply,
+            Err(error) => {
+                let reply = hand_on(node, &ask).await;
+                if reply.status == 503 { unanswered(&error) } else { reply }
+            }
+        },
+        reply = &mut hedge => {
+            if reply.status != 503 {
+                return reply;
             }
+            own.await.unwrap_or_else(|error| unanswered(&error))
         }
     }
 }
 
+fn unanswered(error: &StateError) -> Reply {
+    debug!(%error, "a user's request can't be answered from the store");
+    Reply::unavailable("the state service does not answer")
+}
+
 /// The peer that runs the shard, if it is one.
 fn owner_peer(node: &Node) -> Option<Peer> {
     let label = node.owner_label()?;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -33,6 +33,8 @@
     pub term: Option<u64>,
     /// The zone that holds most of the machines, as the owner last said.
     pub main_zone: Option<String>,
+    /// Whether it gave the shard up lately because it heard too few workers.
+    pub deaf: bool,
 }
 
 /// The answer to a [`PeerRequest`].
