--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::slowness::RunTimes;
 use super::{Action, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Stage};
 use crate::protocol::{JobId, MachineId};
@@ -29,6 +30,8 @@
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
     pub not_before: Option<Instant>,
+    /// Run times of its completed tasks, for comparing machines.
+    pub ran: RunTimes,
     /// Its final state, if it is over.
     pub over: Option<Stage>,
     pub finish_sent: bool,
@@ -48,6 +51,7 @@
             failed_on: BTreeSet::new(),
             failures: 0,
             not_before: None,
+            ran: RunTimes::default(),
             over: None,
             finish_sent: false,
             cursor: 0,
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -40,6 +40,8 @@
     pub stop_sent: bool,
     /// Its end is on record: the worker may forget it.
     pub clearable: bool,
+    /// It has run far longer than its kin, and its machine was noted for it.
+    pub overdue: bool,
 }
 
 impl Attempt {
@@ -54,6 +56,7 @@
             stop: None,
             stop_sent: false,
             clearable: false,
+            overdue: false,
         }
     }
 
@@ -170,6 +173,8 @@
     pub idle_since: Option<Instant>,
     /// Jobs that failed on it by error.
     pub errors: Vec<JobId>,
+    /// Tasks that ran far longer on it than their kin elsewhere.
+    pub slow_tasks: u32,
     /// Gets no new tasks and is given back when empty.
     pub condemned: bool,
     /// Being emptied, so that it can be given back.
@@ -209,6 +214,7 @@
             rented: now,
             idle_since: None,
             errors: Vec::new(),
+            slow_tasks: 0,
             condemned: false,
             draining: false,
             deleting: false,
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod preemption;
 mod reports;
+mod slowness;
 mod writes;
 
 pub use cluster::{Loaded, LoadedMachine};
@@ -204,6 +205,7 @@
     /// Periodic work: leases, snapshots, fleet. Every fraction of a second.
     pub fn tick(&mut self, now: Instant) {
         self.expire_leases(now);
+        self.find_slow_machines(now);
         self.probe_unsynced(now);
         self.retry_commands(now);
         self.manage_fleet(now);
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -276,6 +276,10 @@
             return;
         };
         let asked = attempt.stop.is_some();
+        let overdue = attempt.overdue;
+        let ran = attempt
+            .running_since
+            .map(|since| now.saturating_duration_since(since));
         tracing::debug!(machine = %id, %task, ?ending, asked, "attempt ended");
         let Some(job) = self.jobs.get_mut(&task.job) else {
             attempt.clearable = true;
@@ -287,6 +291,11 @@
         match ending {
             Ending::Done => {
                 job.done.insert(task.index);
+                // A task found running at a take-over has run for longer than
+                // was seen; it only makes its kin look slower than they are.
+                if let Some(ran) = ran.filter(|_| !overdue) {
+                    job.ran.note(ran);
+                }
                 job.failures = 0;
                 job.not_before = None;
                 self.writes.progress_changed(now);
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -462,6 +462,49 @@
     ));
 }
 
+#[test]
+fn a_machine_far_slower_than_its_kin_is_given_up() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.report("vm-2", Vec::new());
+    // Eight tasks fill vm-1, two go to vm-2.
+    script.submit("run-1", spec("blue", 1.0, 10));
+    let batches = script.launches();
+    let lines = |batch: &(MachineId, u64, Vec<Command>), state, ending| {
+        batch
+            .2
+            .iter()
+            .filter_map(|command| match command {
+                Command::Launch { task, attempt } => {
+                    Some(listed(&task.to_string(), *attempt, state, ending))
+                }
+                _ => None,
+            })
+            .collect::<Vec<_>>()
+    };
+    for batch in &batches {
+        let running = lines(batch, TaskState::Running, None);
+        let report = script.report_of(&batch.0, TERM, running);
+        script.answered(batch, CommandOutcome::Executed(report));
+    }
+    let (quick, slow) = (&batches[0], &batches[1]);
+    script.now += Duration::from_secs(10);
+    let done = lines(quick, TaskState::Ended, Some(Ending::Done));
+    assert!(done.len() >= 3, "enough kin to compare with");
+    script.report(&quick.0, done);
+    for _ in 0..21 {
+        script.now += Duration::from_secs(1);
+        script.report(&slow.0, lines(slow, TaskState::Running, None));
+        script.pass(Duration::ZERO);
+    }
+    let stopped = script.batches().iter().any(|(machine, _, commands)| {
+        *machine == slow.0 && commands.iter().any(|c| matches!(c, Command::Stop { .. }))
+    });
+    assert!(stopped, "its tasks move");
+    assert!(script.shard.machines()[&slow.0].condemned);
+    assert!(!script.shard.machines()[&quick.0].condemned);
+}
+
 #[test]
 fn a_team_limit_counts_what_may_exist() {
     let mut script = Script::new(Loaded::default());
