--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -6,8 +6,10 @@
 use crate::protocol::MachineId;
 use crate::protocol::users::JobKind;
 
-/// Completed tasks of a job that tell how long the others should run.
+/// Least number of completed tasks of a job, and least share of its tasks, that
+/// tell how long the others should run: the first to end are the shortest.
 const KIN: u32 = 3;
+const KIN_SHARE: f64 = 0.5;
 /// A task that has run this much longer than its kin is overdue.
 const FAR_SLOWER: f64 = 2.5;
 /// Room for short tasks, whose times say little.
@@ -29,8 +31,9 @@
     }
 
     /// The time past which a task is overdue, once enough are known.
-    fn overdue_after(&self) -> Option<Duration> {
-        (self.count >= KIN).then(|| (self.total / self.count).mul_f64(FAR_SLOWER) + ALLOWANCE)
+    fn overdue_after(&self, tasks: u32) -> Option<Duration> {
+        let enough = self.count >= KIN && f64::from(self.count) >= f64::from(tasks) * KIN_SHARE;
+        enough.then(|| (self.total / self.count).mul_f64(FAR_SLOWER) + ALLOWANCE)
     }
 }
 
@@ -47,7 +50,9 @@
                 let bound = self
                     .jobs
                     .get(&key.0.job)
-                    .and_then(|job| job.ran.overdue_after());
+                    // Tasks that resume from a checkpoint run for any time.
+                    .filter(|job| job.spec.checkpoint_s <= 0.0)
+                    .and_then(|job| job.ran.overdue_after(job.spec.tasks));
                 let ran = attempt
                     .running_since
                     .map(|since| now.saturating_duration_since(since));
