--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -9,6 +9,8 @@
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
+/// Fetches may take this much longer than the type's rate says.
+const FETCH_MARGIN: f64 = 1.35;
 /// Jobs with at least this many tasks may bring their image to a machine.
 const SEED_FROM: u32 = 8;
 /// Tasks of one job placed before its team's turn ends.
@@ -357,6 +359,8 @@
                     !holds
                 };
                 let (lacks_a, lacks_b) = (image(a), image(b));
+                let late = |slot: &Slot, lacks: bool| lacks && self.fetch_is_late(spec, slot);
+                let (late_a, late_b) = (late(a, lacks_a), late(b, lacks_b));
                 let room = if lacks_a || spread {
                     b.free.cores.total_cmp(&a.free.cores)
                 } else {
@@ -364,6 +368,7 @@
                 };
                 lacks_a
                     .cmp(&lacks_b)
+                    .then(late_a.cmp(&late_b))
                     .then(far(a).cmp(&far(b)))
                     .then(a.costly.cmp(&b.costly))
                     .then(b.spot.cmp(&a.spot))
@@ -373,6 +378,21 @@
             .map(|(at, _)| at)
     }
 
+    /// Whether fetching a job's image there takes longer than a good wait.
+    fn fetch_is_late(&self, spec: &JobSpec, slot: &Slot) -> bool {
+        let within = self.policy.wait_within.get(&spec.class);
+        let rate = self
+            .types
+            .get(&slot.machine_type)
+            .map(|kind| kind.fetch_gb_per_s);
+        match (within, rate) {
+            (Some(within), Some(rate)) if rate > 0.0 => {
+                spec.image_gb / rate * FETCH_MARGIN > within.as_secs_f64()
+            }
+            _ => false,
+        }
+    }
+
     /// Work that may run on spot machines waits for them while it has time.
     pub(super) fn worth_it(&self, job: &Job, slot: &Slot) -> bool {
         !slot.costly || !job.spec.spot || job.spec.kind == JobKind::Standing
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -30,7 +30,7 @@
             if !self.within_limit(&usage, &spec) {
                 // Its team's own lesser work may hold the whole limit.
                 if let Some((machine, key)) = self.lesser_of_team(&spec, now) {
-                    self.stop_for_room(&machine, &key);
+                    self.stop_for_room(&machine, &key, &spec);
                 }
                 continue;
             }
@@ -39,7 +39,7 @@
                 self.cheapest_victims(job, guaranteed, &usage, slots, now)
             {
                 for key in victims {
-                    self.stop_for_room(&machine, &key);
+                    self.stop_for_room(&machine, &key, &spec);
                 }
                 usage.add(&spec);
             }
@@ -145,7 +145,10 @@
         guaranteed && other.team != spec.team && beyond
     }
 
-    fn stop_for_room(&mut self, machine: &MachineId, key: &(TaskId, u64)) {
+    /// The victim gets its time to save, unless what comes can't wait for it:
+    /// then it falls back to its last checkpoint.
+    fn stop_for_room(&mut self, machine: &MachineId, key: &(TaskId, u64), comes: &JobSpec) {
+        let wait = self.policy.wait_within.get(&comes.class).copied();
         let Some(attempt) = self
             .machines
             .get_mut(machine)
@@ -154,7 +157,9 @@
             return;
         };
         tracing::debug!(%machine, task = %key.0, "stopped to make room");
-        attempt.want_stop(grace(attempt));
+        let grace = grace(attempt);
+        let in_time = wait.is_none_or(|wait| grace < wait / 2);
+        attempt.want_stop(if in_time { grace } else { Duration::ZERO });
     }
 }
 
