--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -376,6 +376,42 @@
                     .then(a.id.cmp(&b.id))
             })
             .map(|(at, _)| at)
+            .filter(|at| !self.better_to_make_room(job, &slots[*at], slots))
+    }
+
+    /// Whether a service would fetch its image for too long there, while it
+    /// could have the place of lesser work beside an image.
+    fn better_to_make_room(&self, job: &Job, slot: &Slot, slots: &[Slot]) -> bool {
+        let spec = &job.spec;
+        let lesser = |machine: &Machine| {
+            machine.attempts.values().any(|attempt| {
+                !attempt.ended()
+                    && attempt.spec.as_ref().is_some_and(|lesser| {
+                        lesser.priority < spec.priority
+                            && lesser.cores >= spec.cores
+                            && lesser.mem_gb >= spec.mem_gb
+                    })
+            })
+        };
+        // Jobs whose tasks depend on one another's zones take what there is.
+        let free_of_zones = !spec.one_zone && (!spec.scatter || spec.tasks == 1);
+        spec.kind == JobKind::Standing
+            && free_of_zones
+            && self.slot_is_late(spec, slot)
+            && slots.iter().any(|other| {
+                allowed(spec, &other.machine_type, &other.zone, other.spot)
+                    && !self.slot_is_late(spec, other)
+                    && self.machines.get(&other.id).is_some_and(lesser)
+            })
+    }
+
+    /// Whether a job would start too late there for want of its image.
+    pub(super) fn slot_is_late(&self, spec: &JobSpec, slot: &Slot) -> bool {
+        let holds = self
+            .machines
+            .get(&slot.id)
+            .is_some_and(|machine| machine.has_image(&spec.image));
+        !holds && self.fetch_is_late(spec, slot)
     }
 
     /// Whether fetching a job's image there takes longer than a good wait.
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -63,7 +63,9 @@
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
                 && (!spec.scatter
                     || zones.get(&slot.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2));
+            let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, slot);
             if !zone_ok
+                || late
                 || !self.worth_it(job, slot)
                 || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
             {
