--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -114,6 +114,8 @@
             job = id,
             class = record.spec.class,
             tasks = record.spec.tasks,
+            estimate_s = record.spec.duration_s,
+            deadline_s = record.spec.deadline_s,
             "job accepted"
         );
         let id: JobId = id.into();
