--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -506,7 +506,13 @@
                     } else {
                         LONG_RUN_S
                     };
-                    let boot = startup(kind).as_secs_f64();
+                    // A machine is paid for while it boots and fetches.
+                    let fetch = if kind.fetch_gb_per_s > 0.0 {
+                        spec.image_gb / kind.fetch_gb_per_s
+                    } else {
+                        0.0
+                    };
+                    let boot = startup(kind).as_secs_f64() + fetch;
                     let mut cost = price * (boot + run) / run / f64::from(fits.min(left));
                     match demand.offers {
                         Offers::Any => {}
