--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -19,11 +19,17 @@
 use crate::storage::client::{StateClient, backoff};
 use crate::storage::records::OwnerRecord;
 use crate::transport::client::HttpClient;
+use crate::transport::limit::Limited;
 use crate::transport::{front, internal};
 
 /// Deadline of ordinary state requests.
 pub const STATE_DEADLINE: Duration = Duration::from_millis(2500);
 
+/// Shares of the sockets, in percent, for the two servers; the rest is for
+/// connections to others.
+const FRONT_SHARE: usize = 70;
+const INTERNAL_SHARE: usize = 10;
+
 /// Why the process ends.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -289,6 +295,9 @@
     tokio::spawn(keep_types(node.clone()));
     tokio::spawn(peering::pulse(node.clone()));
     tokio::spawn(ownership::seek_ownership(node.clone()));
+    let sockets = platform.settings.resources.max_connections;
+    let front_listener = Limited::new(front_listener, sockets * FRONT_SHARE / 100);
+    let internal_listener = Limited::new(internal_listener, sockets * INTERNAL_SHARE / 100);
     let front = axum::serve(front_listener, front::router(node.clone()));
     let internal = axum::serve(internal_listener, internal::router(node.clone()));
     tokio::try_join!(front.into_future(), internal.into_future())
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,3 +3,4 @@
 pub mod client;
 pub mod front;
 pub mod internal;
+pub mod limit;
