--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -23,7 +23,7 @@
  ;; Capacity held ready beyond what runs and waits, as a share of it [0 to 10].
  (headroom . 0.1)
  ;; How long a machine may stay idle before it is given back [0 to 86400].
- (idle-s . 5.0)
+ (idle-s . 10.0)
  ;; How long a refused kind of machine is not asked for again [1 to 3600].
  (refused-s . 15.0)
 )
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -15,7 +15,7 @@
 
 /// How long work that can wait may still use costly machines after the last
 /// time that some of it couldn't.
-const PRESSURE: Duration = Duration::from_secs(6);
+const PRESSURE: Duration = Duration::from_secs(20);
 
 /// Pause between two plans.
 pub(super) const PLAN_EVERY: Duration = Duration::from_millis(500);
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -46,7 +46,7 @@
             suspect_s: 6.0,
             abandon_s: 7.0,
             headroom: 0.1,
-            idle_s: 5.0,
+            idle_s: 10.0,
             refused_s: 15.0,
         }
     }
