--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,12 +1,15 @@
 //! Time as the decision code sees it: a steady clock that tests can fake.
 
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A source of steady time.
 pub trait Clock: Send + Sync {
     /// The present moment of the steady clock.
     fn now(&self) -> Instant;
+
+    /// The time of day, in milliseconds since 1970.
+    fn wall_ms(&self) -> u64;
 }
 
 /// The process's own steady clock.
@@ -17,6 +20,12 @@
     fn now(&self) -> Instant {
         Instant::now()
     }
+
+    fn wall_ms(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |passed| passed.as_millis() as u64)
+    }
 }
 
 /// A clock that moves only when told to.
@@ -45,4 +54,8 @@
     fn now(&self) -> Instant {
         *self.0.lock().expect("clock lock")
     }
+
+    fn wall_ms(&self) -> u64 {
+        0
+    }
 }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -89,7 +89,7 @@
 
 impl Node {
     pub fn new(settings: Settings, clock: Arc<dyn Clock>) -> Arc<Self> {
-        let state = StateClient::new(settings.platform.services.state);
+        let state = StateClient::new(settings.platform.services.state, clock.clone());
         let started = clock.now();
         Arc::new(Self {
             policy: Policy::new(&settings),
@@ -181,7 +181,7 @@
         let Some(served) = served else {
             return true;
         };
-        let recent = Instant::now().saturating_duration_since(served);
+        let recent = self.now().saturating_duration_since(served);
         failed.is_some_and(|failed| failed > served) && recent > Duration::from_millis(1500)
     }
 
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -280,7 +280,13 @@
             }
         }
     };
-    let shard = Shard::take_over(node.policy.clone(), tenure.term, loaded, node.now());
+    let shard = Shard::take_over(
+        node.policy.clone(),
+        tenure.term,
+        loaded,
+        node.now(),
+        node.clock.wall_ms(),
+    );
     {
         let mut inner = node.lock();
         inner.ownership = Some(Ownership {
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -8,7 +8,6 @@
 
 use super::node::{Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
-use super::shard::wall_ms;
 use crate::protocol::peers::{PeerAnswer, PeerRequest, Pulse, decode_answer, encode_request};
 use crate::protocol::state::{Change, Txn};
 use crate::settings::platform::Peer;
@@ -243,7 +242,7 @@
     let record = HearingRecord {
         v: VERSION,
         workers,
-        at_ms: wall_ms(),
+        at_ms: node.clock.wall_ms(),
     };
     if let Ok(value) = serde_json::to_value(record) {
         let txn = Txn::default().change(Change::put(keys::hearing(node.label()), value));
@@ -260,7 +259,7 @@
     else {
         return 0;
     };
-    let wall = wall_ms();
+    let wall = node.clock.wall_ms();
     items
         .into_iter()
         .filter(|item| item.key != keys::hearing(node.label()))
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -244,7 +244,7 @@
     }
     let record = JobRecord {
         v: VERSION,
-        at_ms: super::shard::wall_ms(),
+        at_ms: node.clock.wall_ms(),
         spec,
     };
     let value = serde_json::to_value(&record).map_err(|e| StateError::Unexpected(e.to_string()))?;
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -6,7 +6,6 @@
 use serde_json::Value;
 
 use super::fleet::Fleet;
-use super::placement::wall_ms;
 use super::{Job, Machine, Policy, Shard, writes};
 use crate::protocol::MachineId;
 use crate::storage::records::{BookingRecord, JobRecord, RosterRecord};
@@ -34,11 +33,18 @@
 impl Shard {
     /// A shard just acquired. Everything loaded must have been read after the
     /// ownership record was written.
-    pub fn take_over(policy: Policy, term: u64, loaded: Loaded, now: Instant) -> Self {
+    pub fn take_over(
+        policy: Policy,
+        term: u64,
+        loaded: Loaded,
+        now: Instant,
+        wall_ms: u64,
+    ) -> Self {
         let mut shard = Self {
             policy,
             term,
             acquired: now,
+            acquired_wall_ms: wall_ms,
             types: HashMap::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -54,9 +60,8 @@
             restless: true,
             out: Vec::new(),
         };
-        let wall = wall_ms();
         for (id, mark, record) in loaded.jobs {
-            let age = Duration::from_millis(wall.saturating_sub(record.at_ms));
+            let age = Duration::from_millis(wall_ms.saturating_sub(record.at_ms));
             let at = now.checked_sub(age).unwrap_or(now);
             shard.fleet.note_arrival(&record.spec, at, now);
             let id = id.as_str().into();
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -20,7 +20,6 @@
 pub use fleet::RentalOutcome;
 pub use jobs::Job;
 pub use machines::{Attempt, Machine, Phase};
-pub use placement::wall_ms;
 pub use reports::ReportOutcome;
 pub use writes::{Fact, ShardWrite};
 
@@ -176,6 +175,8 @@
     /// The number that fences our commands and writes.
     pub term: u64,
     acquired: Instant,
+    /// The time of day then, in milliseconds.
+    acquired_wall_ms: u64,
     types: HashMap<String, Arc<MachineType>>,
     jobs: BTreeMap<JobId, Job>,
     machines: BTreeMap<MachineId, Machine>,
@@ -224,6 +225,12 @@
         self.pump_writes(now);
     }
 
+    /// The time of day, by the steady clock since the take-over.
+    fn wall_ms(&self, now: Instant) -> u64 {
+        let passed = now.saturating_duration_since(self.acquired).as_millis() as u64;
+        self.acquired_wall_ms + passed
+    }
+
     /// New machine types (with the prices of the moment).
     pub fn set_types(&mut self, types: &[MachineType]) {
         self.types = types
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -192,7 +192,7 @@
         let mut usage = self.usage();
         let mut slots = self.open_slots(now);
         let mut stuck = Vec::new();
-        let wall = wall_ms();
+        let wall = self.wall_ms(now);
         for (_, teams) in levels {
             let mut queues: HashMap<String, VecDeque<JobId>> = teams
                 .into_iter()
@@ -487,10 +487,3 @@
         .values()
         .any(|a| !a.ended() && a.spec.as_ref().is_some_and(|spec| spec.image == image))
 }
-
-/// Time of day in milliseconds.
-pub fn wall_ms() -> u64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
-}
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -267,7 +267,7 @@
     fn demands(&mut self, bins: &[Bin], now: Instant) -> Vec<Demand> {
         let mut demands = Vec::new();
         let mut pressed = false;
-        let wall = super::placement::wall_ms();
+        let wall = self.wall_ms(now);
         let mut usage = self.usage();
         let mut jobs: Vec<_> = self
             .jobs
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -47,7 +47,7 @@
 impl Script {
     fn new(loaded: Loaded) -> Self {
         let now = Instant::now();
-        let mut shard = Shard::take_over(policy(), TERM, loaded, now);
+        let mut shard = Shard::take_over(policy(), TERM, loaded, now, 0);
         shard.set_types(&machine_types());
         let mut script = Self {
             shard,
@@ -215,7 +215,7 @@
 fn attempt_numbers_never_repeat_across_terms() {
     let takes = |term: u64| {
         let now = Instant::now();
-        let mut shard = Shard::take_over(policy(), term, Loaded::default(), now);
+        let mut shard = Shard::take_over(policy(), term, Loaded::default(), now, 0);
         shard.set_types(&machine_types());
         let mut script = Script {
             shard,
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -369,7 +369,7 @@
             chunks: self.chunks.clone(),
             bookings: self.bookings.values().cloned().collect(),
         };
-        let mut shard = Shard::take_over(policy(), self.term, loaded, self.now);
+        let mut shard = Shard::take_over(policy(), self.term, loaded, self.now, 0);
         shard.set_types(&machine_types());
         self.owner = Some(Owner {
             run: self.owner_run,
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -1,7 +1,7 @@
 //! The state service's client.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::clock::Clock;
 use crate::protocol::state::{Committed, HoldGranted, HoldRequest, Item, NewsPage, Page, Txn};
 use crate::transport::client::{Answer, CallError, HttpClient};
 
@@ -51,6 +52,7 @@
 /// The client. Renewals and watches have connections of their own.
 pub struct StateClient {
     addr: SocketAddr,
+    clock: Arc<dyn Clock>,
     facts: HttpClient,
     renewals: HttpClient,
     watches: HttpClient,
@@ -72,9 +74,10 @@
 const LONGEST_LATENCY_US: u64 = 60_000_000;
 
 impl StateClient {
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(addr: SocketAddr, clock: Arc<dyn Clock>) -> Self {
         Self {
             addr,
+            clock,
             facts: HttpClient::new(),
             renewals: HttpClient::new(),
             watches: HttpClient::new(),
@@ -110,7 +113,7 @@
             Ok(answer) => answer.status != StatusCode::SERVICE_UNAVAILABLE,
             Err(_) => false,
         };
-        let now = Instant::now();
+        let now = self.clock.now();
         if served {
             health.served = Some(now);
         } else {
@@ -126,11 +129,10 @@
         body: Vec<u8>,
         deadline: Duration,
     ) -> Result<Answer, StateError> {
-        let sent = Instant::now();
+        let sent = self.clock.now();
         let result = client.call(method, self.addr, path, body, deadline).await;
         if result.is_ok() && !path.starts_with("/follow") {
-            let micros = sent
-                .elapsed()
+            let micros = (self.clock.now() - sent)
                 .as_micros()
                 .clamp(1, LONGEST_LATENCY_US.into());
             let mut histogram = self.latencies.lock().unwrap_or_else(|e| e.into_inner());
