--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -137,8 +137,18 @@
 /// Exchanges pulses for ever.
 pub async fn pulse(node: Arc<Node>) {
     let mut deaf = 0;
+    let mut was_ready = false;
     loop {
         note_main_zone(&node);
+        let ready = node.ready();
+        if ready != std::mem::replace(&mut was_ready, ready) {
+            tracing::info!(
+                ready,
+                state_lost = node.state_lost(),
+                peer_served = node.peer_served(),
+                "readiness changed"
+            );
+        }
         for peer in &node.settings.platform.others {
             let (node, peer) = (node.clone(), peer.clone());
             tokio::spawn(async move {
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -110,7 +110,8 @@
             return;
         }
         self.fleet.note_arrival(&record.spec, now, now);
-        tracing::debug!(
+        tracing::info!(
+            term = self.term,
             job = id,
             class = record.spec.class,
             tasks = record.spec.tasks,
@@ -152,7 +153,18 @@
         };
         if job.over.is_none() {
             job.over = Some(stage.unwrap_or(Stage::Cancelled));
-            tracing::debug!(job = id, stage = ?job.over, "job over");
+            // A watch tells only that the record is gone; who moved it knows why.
+            let stage = stage.map_or("done or cancelled", |stage| match stage {
+                Stage::Done => "done",
+                _ => "cancelled",
+            });
+            tracing::info!(
+                term = self.term,
+                job = id,
+                stage,
+                done = job.done.len(),
+                "job over"
+            );
         }
         let id = job.id.clone();
         self.clear_finishes_of(&id);
