--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -308,7 +308,7 @@
 
     /// Machines and queues, as text for operators.
     pub fn describe(&self, now: Instant) -> String {
-        let mut text = format!("{}\n", self.summary());
+        let mut text = format!("{}\n{}\n", self.summary(), self.writes.describe(now));
         let mut queues: BTreeMap<&str, (u32, usize)> = BTreeMap::new();
         for job in self.jobs.values() {
             let entry = queues.entry(&job.spec.team).or_default();
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -80,6 +80,19 @@
             .is_some_and(|since| now.saturating_duration_since(since) > bound)
     }
 
+    /// The queues and the budget, as text for operators.
+    pub(super) fn describe(&self, now: Instant) -> String {
+        format!(
+            "writes: {} facts and {} chunks wait, {:.0} chunks allowed now, unrecorded for {:?}",
+            self.facts.len(),
+            self.chunks.len(),
+            self.tokens.max(0.0),
+            self.dirty_since
+                .map(|since| now.saturating_duration_since(since))
+                .unwrap_or_default(),
+        )
+    }
+
     pub(super) fn fact(&mut self, fact: Fact, change: Change) {
         self.facts.push_back((fact, change));
     }
--- a/tests/trial.rs
+++ b/tests/trial.rs
@@ -18,6 +18,7 @@
 struct Controller {
     label: String,
     front: SocketAddr,
+    internal: SocketAddr,
     child: Child,
 }
 
@@ -33,7 +34,7 @@
     listener.local_addr().expect("an address")
 }
 
-fn start(settings: &Value, label: &str, front: SocketAddr) -> Controller {
+fn start(settings: &Value, label: &str, front: SocketAddr, internal: SocketAddr) -> Controller {
     let path: PathBuf = [env!("CARGO_TARGET_TMPDIR"), &format!("{label}.json")]
         .iter()
         .collect();
@@ -47,6 +48,7 @@
     Controller {
         label: label.to_owned(),
         front,
+        internal,
         child,
     }
 }
@@ -81,7 +83,7 @@
                 "skew_ms": 10,
             },
         });
-        controllers.push(start(&settings, label, fronts[at]));
+        controllers.push(start(&settings, label, fronts[at], internals[at]));
     }
     controllers
 }
@@ -210,6 +212,20 @@
     )
     .await;
     let dead = owner(&client, &controllers).await;
+    let page = client
+        .call(
+            Method::GET,
+            controllers[dead].internal,
+            "/status",
+            Vec::new(),
+            Duration::from_secs(3),
+        )
+        .await
+        .expect("a status page");
+    let page = String::from_utf8_lossy(&page.body).into_owned();
+    for part in ["term ", "machines", "writes:", "p99"] {
+        assert!(page.contains(part), "no {part:?} in {page}");
+    }
     drop(controllers.remove(dead));
     for controller in &controllers {
         let path = "/v1/jobs/run-000002";
