--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -86,6 +86,14 @@
                 attempt.in_flight = true;
             }
         }
+        self.issue(id, session, commands);
+    }
+
+    /// Puts a batch under way: the machine's only one until it is answered.
+    fn issue(&mut self, id: &MachineId, session: u64, commands: Vec<Command>) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
         self.next_command += 1;
         machine.command = Some(self.next_command);
         machine.command_retry = None;
@@ -106,16 +114,7 @@
         if machine.command.is_some() || machine.addr.is_empty() {
             return;
         }
-        self.next_command += 1;
-        machine.command = Some(self.next_command);
-        machine.command_retry = None;
-        self.out.push(Action::Command {
-            machine: id.clone(),
-            addr: machine.addr.clone(),
-            session,
-            number: self.next_command,
-            commands: Vec::new(),
-        });
+        self.issue(id, session, Vec::new());
     }
 
     /// Probes machines that have not shown our term yet, and silent ones.
