--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -85,7 +85,6 @@
 #[derive(Debug, Clone)]
 pub struct Policy {
     pub label: String,
-    pub zones: Vec<String>,
     pub teams: HashMap<String, TeamPolicy>,
     /// Longest good wait for a start, by class.
     pub wait_within: HashMap<String, Duration>,
@@ -93,7 +92,6 @@
     pub finish_within: HashMap<String, Duration>,
     pub report: Duration,
     pub worker_lease: Duration,
-    pub list_lag: Duration,
     pub txn_ops: usize,
     pub value_bytes: usize,
     pub snapshot: Duration,
@@ -113,7 +111,6 @@
         let operator = &settings.operator;
         Self {
             label: settings.platform.label.clone(),
-            zones: given.zones.clone(),
             teams: given
                 .teams
                 .iter()
@@ -131,7 +128,6 @@
             finish_within: within(&given.objectives, "finished"),
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
-            list_lag: Duration::from_secs_f64(given.cloud.list_lag_s),
             txn_ops: given.state.txn_ops,
             value_bytes: (given.state.value_kb * 1024.0) as usize,
             snapshot: operator.snapshot(),
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -80,7 +80,6 @@
     };
     Policy {
         label: "n0".into(),
-        zones: vec!["north".into(), "south".into()],
         teams: [
             ("red".to_owned(), team(8.0, 16.0)),
             ("blue".to_owned(), team(0.0, 0.0)),
@@ -90,7 +89,6 @@
         finish_within: HashMap::new(),
         report: Duration::from_secs(3),
         worker_lease: LEASE,
-        list_lag: Duration::from_secs(3),
         txn_ops: 8,
         value_bytes: 8192,
         snapshot: Duration::from_secs(3),
