Repeated pieces of the shard's code are merged

Services on a machine, the time to save, what holds an image and the close of a job's attempts each have one place; a loop that changed nothing and a second count of the teams' use are gone.

--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -208,7 +208,7 @@
         let Ok(Some(item)) = node.state.get(&keys::job(job), STATE_DEADLINE).await else {
             // Gone, or not to be read now.
             if let Ok(None) = node.state.get(&keys::job(job), STATE_DEADLINE).await {
-                node.with_shard(tenure, |shard, now| shard.job_gone(job, None, now));
+                node.with_shard(tenure, |shard, _| shard.job_gone(job, None));
                 return;
             }
             attempt += 1;
@@ -235,8 +235,8 @@
             .change(Change::put(keys::final_job(job), value));
         match node.state.txn(&txn, STATE_DEADLINE).await {
             Ok(TxnOutcome::Committed { .. }) => {
-                node.with_shard(tenure, |shard, now| {
-                    shard.job_gone(job, Some(Stage::Done), now);
+                node.with_shard(tenure, |shard, _| {
+                    shard.job_gone(job, Some(Stage::Done));
                 });
                 return;
             }
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -414,7 +414,7 @@
                             }
                             News::Delete { key, .. } => {
                                 if let Some(id) = key.strip_prefix(keys::JOBS) {
-                                    shard.job_gone(id, None, now);
+                                    shard.job_gone(id, None);
                                 }
                             }
                         }
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -385,8 +385,8 @@
         match patient(|| node.state.txn(&txn, STORE)).await? {
             TxnOutcome::Committed { .. } => {
                 if let Some(tenure) = node.tenure() {
-                    node.with_shard(&tenure, |shard, now| {
-                        shard.job_gone(id, Some(Stage::Cancelled), now);
+                    node.with_shard(&tenure, |shard, _| {
+                        shard.job_gone(id, Some(Stage::Cancelled));
                     });
                 }
                 return Ok(Reply::view(
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -97,7 +97,7 @@
             }
         }
         for booking in loaded.bookings {
-            shard.resume_booking(booking.rental, now);
+            shard.resume_booking(booking.rental);
         }
         let complete: Vec<_> = shard
             .jobs
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -136,14 +136,6 @@
         }
     }
 
-    pub(super) fn retry_commands(&mut self, now: Instant) {
-        for machine in self.machines.values_mut() {
-            if machine.command_retry.is_some_and(|at| at <= now) {
-                machine.command_retry = None;
-            }
-        }
-    }
-
     /// A batch of commands was answered, or was given up.
     pub fn command_answered(
         &mut self,
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -1,21 +1,21 @@
-//! Emptying machines that are little used, one at a time: their services move
-//! to machines that hold the image already, and what is empty goes back.
+//! Emptying machines that are little used: their services move one by one to
+//! machines that hold the image already, and what is empty goes back.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::machines::Amounts;
 use super::placement::allowed;
 use super::plan::Bin;
-use super::{Machine, Phase, Shard};
-use crate::protocol::MachineId;
-use crate::protocol::users::JobKind;
+use super::{Attempt, Machine, Phase, Shard};
+use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::{MachineId, TaskId};
 
 /// A machine is used at least this long before it is emptied.
 const LEAST_AGE: Duration = Duration::from_secs(60);
 /// Machines fuller than this are left alone.
 const MOST_FILL: f64 = 0.6;
-
 /// Machines that are emptied at once.
 const MOST_AT_ONCE: usize = 1;
 
@@ -51,9 +51,7 @@
             return;
         };
         let restless = self.machines.values().any(|machine| {
-            machine.attempts.values().any(|a| {
-                is_standing(a) && !a.ended() && (a.stop.is_some() || a.phase != Phase::Running)
-            })
+            live_services(machine).any(|(_, a, _)| a.stop.is_some() || a.phase != Phase::Running)
         });
         if restless {
             return;
@@ -63,13 +61,8 @@
             .values()
             .filter(|m| m.zone != *main && m.synced && !m.deleting)
             .find_map(|machine| {
-                let (key, _) = machine.attempts.iter().find(|(_, attempt)| {
-                    let Some(spec) = attempt.spec.as_ref() else {
-                        return false;
-                    };
-                    is_standing(attempt)
-                        && !attempt.ended()
-                        && spec.tasks == 1
+                let (key, ..) = live_services(machine).find(|(_, _, spec)| {
+                    spec.tasks == 1
                         && bins.iter().any(|bin| {
                             bin.zone == *main
                                 && bin.free.fits(spec) > 0
@@ -79,11 +72,18 @@
                 })?;
                 Some((machine.id.clone(), key.clone()))
             });
-        if let Some((id, key)) = far
-            && let Some(attempt) = self
-                .machines
-                .get_mut(&id)
-                .and_then(|m| m.attempts.get_mut(&key))
+        if let Some((id, key)) = far {
+            self.stop_service(&id, &key);
+        }
+    }
+
+    /// Stops a service that is to move; placement finds its new machine as soon
+    /// as the worker says that it has ended.
+    fn stop_service(&mut self, id: &MachineId, key: &(TaskId, u64)) {
+        if let Some(attempt) = self
+            .machines
+            .get_mut(id)
+            .and_then(|machine| machine.attempts.get_mut(key))
         {
             attempt.want_stop(Duration::ZERO);
             self.restless = true;
@@ -110,52 +110,38 @@
     }
 
     /// Stops the next service there for which there is room now on a machine
-    /// that holds its image; it starts there as soon as the worker says that it
-    /// has ended.
+    /// that holds its image.
     fn move_one_service(&mut self, id: &MachineId, bins: &[Bin]) {
         let waits = self
             .jobs
             .values()
             .any(|job| job.spec.kind == JobKind::Standing && job.waiting() > 0);
-        let moving = self.machines.values().any(|machine| {
-            machine
-                .attempts
-                .values()
-                .any(|a| is_standing(a) && !a.ended() && a.stop.is_some())
-        });
+        let moving = self
+            .machines
+            .values()
+            .any(|machine| live_services(machine).any(|(_, a, _)| a.stop.is_some()));
         let Some(machine) = self.machines.get(id) else {
             return;
         };
         if waits || moving {
             return;
         }
-        let next = machine
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| !attempt.ended() && is_standing(attempt))
-            .find(|(_, attempt)| {
-                attempt.spec.as_ref().is_some_and(|spec| {
-                    bins.iter().any(|bin| {
-                        bin.machine.as_ref() != Some(id)
-                            && self.is_open_holder(bin, &spec.image)
-                            && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
-                            && bin
-                                .machine
-                                .as_ref()
-                                .and_then(|id| self.free_now(id))
-                                .is_some_and(|free| free.fits(spec) > 0)
-                    })
+        let next = live_services(machine)
+            .find(|(_, _, spec)| {
+                bins.iter().any(|bin| {
+                    bin.machine.as_ref() != Some(id)
+                        && self.is_open_holder(bin, &spec.image)
+                        && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+                        && bin
+                            .machine
+                            .as_ref()
+                            .and_then(|id| self.free_now(id))
+                            .is_some_and(|free| free.fits(spec) > 0)
                 })
             })
-            .map(|(key, _)| key.clone());
-        if let Some(key) = next
-            && let Some(attempt) = self
-                .machines
-                .get_mut(id)
-                .and_then(|m| m.attempts.get_mut(&key))
-        {
-            attempt.want_stop(Duration::ZERO);
-            self.restless = true;
+            .map(|(key, ..)| key.clone());
+        if let Some(key) = next {
+            self.stop_service(id, &key);
         }
     }
 
@@ -222,31 +208,21 @@
                 Some((bin, other, room))
             })
             .collect();
-        machine
-            .attempts
-            .values()
-            .filter(|a| !a.ended() && is_standing(a))
-            .all(|attempt| {
-                let Some(spec) = &attempt.spec else {
-                    return false;
-                };
-                let room = rooms.iter_mut().find(|(bin, other, room)| {
-                    other.has_image(&spec.image)
-                        && other
-                            .attempts
-                            .values()
-                            .any(|a| !a.ended() && is_standing(a))
-                        && room.fits(spec) > 0
-                        && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
-                });
-                match room {
-                    Some((_, _, room)) => {
-                        room.take(spec);
-                        true
-                    }
-                    None => false,
+        live_services(machine).all(|(_, _, spec)| {
+            let room = rooms.iter_mut().find(|(bin, other, room)| {
+                other.has_image(&spec.image)
+                    && hosts_services(other)
+                    && room.fits(spec) > 0
+                    && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+            });
+            match room {
+                Some((_, _, room)) => {
+                    room.take(spec);
+                    true
                 }
-            })
+                None => false,
+            }
+        })
     }
 
     /// Room that batch work must leave on other machines for the services of
@@ -267,14 +243,7 @@
             .filter_map(|m| Some((m, self.beside_services(m)?)))
             .collect();
         hosts.sort_by(|a, b| a.1.cores.total_cmp(&b.1.cores).then(a.0.id.cmp(&b.0.id)));
-        for attempt in leaving
-            .attempts
-            .values()
-            .filter(|a| !a.ended() && is_standing(a))
-        {
-            let Some(spec) = &attempt.spec else {
-                continue;
-            };
+        for (_, _, spec) in live_services(leaving) {
             let host = hosts
                 .iter_mut()
                 .find(|(host, room)| host.has_image(&spec.image) && room.fits(spec) > 0);
@@ -290,16 +259,18 @@
     }
 }
 
-pub(super) fn hosts_services(machine: &Machine) -> bool {
+/// The services that may be on a machine.
+fn live_services(
+    machine: &Machine,
+) -> impl Iterator<Item = (&(TaskId, u64), &Attempt, &Arc<JobSpec>)> {
     machine
         .attempts
-        .values()
-        .any(|attempt| !attempt.ended() && is_standing(attempt))
+        .iter()
+        .filter(|(_, attempt)| !attempt.ended())
+        .filter_map(|(key, attempt)| Some((key, attempt, attempt.spec.as_ref()?)))
+        .filter(|(_, _, spec)| spec.kind == JobKind::Standing)
 }
 
-fn is_standing(attempt: &super::Attempt) -> bool {
-    attempt
-        .spec
-        .as_ref()
-        .is_some_and(|spec| spec.kind == JobKind::Standing)
+pub(super) fn hosts_services(machine: &Machine) -> bool {
+    live_services(machine).next().is_some()
 }
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -153,8 +153,8 @@
             }
         }
         for machine in self.machines.values_mut() {
-            if machine.deletion_since.is_some_and(|at| at <= now) {
-                machine.deletion_since = None;
+            if machine.deletion_retry.is_some_and(|at| at <= now) {
+                machine.deletion_retry = None;
                 self.out.push(Action::Delete(vec![machine.id.clone()]));
             }
         }
@@ -232,7 +232,7 @@
                 }
                 self.gone.insert(id.clone(), now);
             } else if let Some(machine) = self.machines.get_mut(id) {
-                machine.deletion_since = Some(now + RETRY);
+                machine.deletion_retry = Some(now + RETRY);
             }
         }
         self.restless = true;
@@ -306,7 +306,7 @@
     }
 
     /// A rental that an earlier owner recorded and perhaps requested.
-    pub(super) fn resume_booking(&mut self, rental: Rental, _now: Instant) {
+    pub(super) fn resume_booking(&mut self, rental: Rental) {
         self.out.push(Action::Rent(rental.clone()));
         self.fleet.bookings.insert(
             rental.request.clone(),
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -139,7 +139,7 @@
             .map(|job| job.id.clone())
             .collect();
         for id in gone {
-            self.job_gone(&id, None, now);
+            self.job_gone(&id, None);
         }
         for (id, mark, record) in jobs {
             self.job_put(&id, mark, record, now);
@@ -147,7 +147,7 @@
     }
 
     /// A job's record is gone: it is done or cancelled.
-    pub fn job_gone(&mut self, id: &str, stage: Option<Stage>, now: Instant) {
+    pub fn job_gone(&mut self, id: &str, stage: Option<Stage>) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -167,22 +167,27 @@
             );
         }
         let id = job.id.clone();
-        self.clear_finishes_of(&id);
-        self.stop_attempts_of(&id, now);
+        self.close_attempts_of(&id);
         self.restless = true;
         self.drop_job_if_empty(&id);
     }
 
-    /// Stops all that may exist of a job that is over.
-    fn stop_attempts_of(&mut self, id: &JobId, now: Instant) {
+    /// Stops all that may exist of a job that is over; its ends need no
+    /// snapshot any more. Launches not yet sent are taken back as the shard
+    /// settles.
+    fn close_attempts_of(&mut self, id: &JobId) {
         for machine in self.machines.values_mut() {
             for ((task, _), attempt) in &mut machine.attempts {
-                if task.job == *id {
+                if task.job != *id {
+                    continue;
+                }
+                if attempt.ended() {
+                    attempt.clearable = true;
+                } else {
                     attempt.want_stop(Duration::ZERO);
                 }
             }
         }
-        self.withdraw_launches(now);
     }
 
     /// What an orphan on a machine was: its job is over.
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -83,9 +83,7 @@
         };
         let ran = now.saturating_duration_since(since);
         match &self.spec {
-            Some(spec) if spec.checkpoint_s > 0.0 => {
-                ran.min(Duration::from_secs_f64(spec.save_s.min(1e6)))
-            }
+            Some(spec) if spec.checkpoint_s > 0.0 => ran.min(spec.save_time()),
             _ => ran,
         }
     }
@@ -184,9 +182,11 @@
     pub draining: bool,
     /// A deletion is under way.
     pub deleting: bool,
-    pub deletion_since: Option<Instant>,
-    /// It was on the cloud's list, and is no more.
+    /// When a deletion without an answer is asked for again.
+    pub deletion_retry: Option<Instant>,
+    /// It has been on the cloud's list.
     pub listed: bool,
+    /// It should be on the cloud's list, and isn't.
     pub vanished: bool,
     /// The batch of commands that is under way.
     pub command: Option<u64>,
@@ -221,7 +221,7 @@
             condemned: false,
             draining: false,
             deleting: false,
-            deletion_since: None,
+            deletion_retry: None,
             listed: false,
             vanished: false,
             command: None,
@@ -273,7 +273,7 @@
             .find(|attempt| !attempt.ended())
     }
 
-    /// What may be in use on it.
+    /// What is left beside all that may be in use on it.
     pub fn free(&self, kind: &MachineType) -> Amounts {
         let mut free = Amounts::of_type(kind);
         for attempt in self.attempts.values().filter(|a| !a.ended()) {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -204,7 +204,6 @@
         self.expire_leases(now);
         self.find_slow_machines(now);
         self.probe_unsynced(now);
-        self.retry_commands(now);
         self.manage_fleet(now);
         self.restless = true;
         self.settle(now);
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -297,18 +297,13 @@
         {
             return None;
         }
-        let holds = |slot: &Slot| {
-            self.machines
-                .get(&slot.id)
-                .is_some_and(|m| m.has_image(&spec.image) || fetches_image(m, &spec.image))
-        };
         slots
             .iter()
             .enumerate()
             .filter(|(_, slot)| {
                 allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                     && slot.fits(spec)
-                    && !holds(slot)
+                    && !self.slot_holds(spec, slot, true)
             })
             .max_by(|(_, a), (_, b)| a.free.cores.total_cmp(&b.free.cores))
             .map(|(at, _)| at)
@@ -352,13 +347,8 @@
                     && !(avoid && job.failed_on.contains(&slot.id))
             })
             .min_by(|(_, a), (_, b)| {
-                let image = |slot: &Slot| {
-                    let holds = self.machines.get(&slot.id).is_some_and(|m| {
-                        m.has_image(&spec.image) || (!spread && fetches_image(m, &spec.image))
-                    });
-                    !holds
-                };
-                let (lacks_a, lacks_b) = (image(a), image(b));
+                let lacks = |slot: &Slot| !self.slot_holds(spec, slot, !spread);
+                let (lacks_a, lacks_b) = (lacks(a), lacks(b));
                 let late = |slot: &Slot, lacks: bool| lacks && self.fetch_is_late(spec, slot);
                 let (late_a, late_b) = (late(a, lacks_a), late(b, lacks_b));
                 let room = if lacks_a || spread {
@@ -405,13 +395,16 @@
             })
     }
 
+    /// Whether a machine holds a job's image; `or_fetches`: or is about to.
+    fn slot_holds(&self, spec: &JobSpec, slot: &Slot, or_fetches: bool) -> bool {
+        self.machines.get(&slot.id).is_some_and(|machine| {
+            machine.has_image(&spec.image) || (or_fetches && fetches_image(machine, &spec.image))
+        })
+    }
+
     /// Whether a job would start too late there for want of its image.
     pub(super) fn slot_is_late(&self, spec: &JobSpec, slot: &Slot) -> bool {
-        let holds = self
-            .machines
-            .get(&slot.id)
-            .is_some_and(|machine| machine.has_image(&spec.image));
-        !holds && self.fetch_is_late(spec, slot)
+        !self.slot_holds(spec, slot, false) && self.fetch_is_late(spec, slot)
     }
 
     /// Whether fetching a job's image there takes longer than a good wait.
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -6,7 +6,7 @@
 
 use super::fleet::{LEAST_CHARGE, MOST_PER_RENTAL, PLAN_EVERY};
 use super::machines::Amounts;
-use super::placement::allowed;
+use super::placement::{Usage, allowed};
 use super::{Job, Machine, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::cloud::MachineType;
@@ -268,7 +268,8 @@
         let mut demands = Vec::new();
         let mut pressed = false;
         let wall = self.wall_ms(now);
-        let mut usage = self.usage();
+        let used = self.usage();
+        let mut usage = used.clone();
         let mut jobs: Vec<_> = self
             .jobs
             .values()
@@ -309,7 +310,7 @@
             }
         }
         self.foreseen(&mut demands, now);
-        self.guaranteed(&mut demands);
+        self.guaranteed(&mut demands, &used);
         if pressed {
             self.fleet.pressed = Some(now);
         }
@@ -439,8 +440,7 @@
 
     /// Room for what the teams are guaranteed and don't use yet: they needn't
     /// wait for machines either.
-    fn guaranteed(&self, demands: &mut Vec<Demand>) {
-        let usage = self.usage();
+    fn guaranteed(&self, demands: &mut Vec<Demand>, usage: &Usage) {
         for (name, team) in &self.policy.teams {
             let unused = team.cores - usage.of(name).cores;
             if unused <= 0.0 {
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -159,7 +159,10 @@
             return;
         };
         tracing::debug!(%machine, task = %key.0, "stopped to make room");
-        let grace = grace(attempt);
+        let grace = attempt
+            .spec
+            .as_ref()
+            .map_or(Duration::ZERO, |spec| spec.save_time());
         let in_time = wait.is_none_or(|wait| grace < wait / 2);
         attempt.want_stop(if in_time { grace } else { Duration::ZERO });
     }
@@ -177,11 +180,3 @@
     let young = now.saturating_duration_since(attempt.since) < YOUNG;
     attempt.work_at_risk(now) + if young { YOUNG } else { Duration::ZERO }
 }
-
-/// Time to save, for a task that can.
-fn grace(attempt: &Attempt) -> Duration {
-    match &attempt.spec {
-        Some(spec) if spec.checkpoint_s > 0.0 => Duration::from_secs_f64(spec.save_s.min(1e6)),
-        _ => Duration::ZERO,
-    }
-}
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::commands::{clear_allowed, stop, stop_to_send};
+use super::commands::{clear_allowed, stop};
 use super::{Action, Attempt, Machine, Phase, Shard};
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
@@ -325,7 +325,7 @@
 const IMAGES_REMEMBERED: usize = 12;
 
 /// All that a worker should know, repeated with each answer.
-fn answer_commands(machine: &mut Machine) -> Vec<Command> {
+fn answer_commands(machine: &Machine) -> Vec<Command> {
     let mut commands = Vec::new();
     for ((task, take), attempt) in &machine.attempts {
         if clear_allowed(attempt) {
@@ -349,15 +349,11 @@
             if let Some(grace) = attempt.stop {
                 commands.push(stop(task, *take, grace));
             }
-        } else if let Some(grace) = stop_to_send(attempt).or(attempt.stop)
+        } else if let Some(grace) = attempt.stop
             && !attempt.ended()
             && attempt.phase != Phase::Launching
+            && (grace.is_zero() || attempt.phase != Phase::Saving)
         {
-            let grace = if attempt.phase == Phase::Saving && !grace.is_zero() {
-                continue;
-            } else {
-                grace
-            };
             commands.push(stop(task, *take, grace));
         }
     }
--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -82,11 +82,9 @@
             let Some(spec) = attempt.spec.clone() else {
                 continue;
             };
-            let saves = spec.kind == JobKind::Batch && spec.checkpoint_s > 0.0;
-            attempt.want_stop(if saves {
-                Duration::from_secs_f64(spec.save_s.min(1e6))
-            } else {
-                Duration::ZERO
+            attempt.want_stop(match spec.kind {
+                JobKind::Batch => spec.save_time(),
+                JobKind::Standing => Duration::ZERO,
             });
         }
         self.restless = true;
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -312,7 +312,7 @@
     script.submit("run-1", spec("blue", 1.0, 1));
     let batch = script.launches().remove(0);
     let take = take_of(&batch.2);
-    script.shard.job_gone("run-1", None, script.now);
+    script.shard.job_gone("run-1", None);
     script.settle();
     script.answered(&batch, CommandOutcome::NoAnswer);
     let commands = script.report("vm-1", Vec::new());
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -694,7 +694,7 @@
                 });
             }
             Message::JobOver { job, stage } => {
-                self.tell(|shard| shard.job_gone(&job, Some(stage), now));
+                self.tell(|shard| shard.job_gone(&job, Some(stage)));
             }
             Message::Rent { owner, rental } => {
                 let known = self.rented.get(&rental.request).cloned();
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -11,7 +11,7 @@
 use crate::protocol::cloud::Rental;
 use crate::protocol::state::Change;
 use crate::protocol::workers::Ending;
-use crate::protocol::{JobId, MachineId, TaskId};
+use crate::protocol::{MachineId, TaskId};
 use crate::storage::keys;
 use crate::storage::records::{BookingRecord, RosterRecord, VERSION};
 use crate::storage::snapshot;
@@ -314,17 +314,6 @@
         self.restless = true;
         self.settle(now);
     }
-
-    /// Finishes of a job whose final record is written need no snapshot.
-    pub(super) fn clear_finishes_of(&mut self, job: &JobId) {
-        for machine in self.machines.values_mut() {
-            for ((task, _), attempt) in &mut machine.attempts {
-                if task.job == *job && attempt.ended() {
-                    attempt.clearable = true;
-                }
-            }
-        }
-    }
 }
 
 /// Room for changes in one transaction, whose limit is 64 KiB in all.
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -54,6 +54,15 @@
 }
 
 impl JobSpec {
+    /// Time that a task needs to save; none if it never does.
+    pub fn save_time(&self) -> Duration {
+        if self.checkpoint_s > 0.0 {
+            Duration::from_secs_f64(self.save_s.min(1e6))
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// The owner's estimate of a task's run time.
     pub fn duration(&self) -> Duration {
         Duration::from_secs_f64(self.duration_s.min(1e9))
