One place moves a job to its final record

A cancel and a finish built the same transaction each in its own words; a finish read the job's record twice when it was gone. Behaviour is meant to stay.

--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -16,8 +16,8 @@
 use crate::protocol::users::Stage;
 use crate::protocol::workers::{Command, CommandBatch};
 use crate::storage::client::{StateError, TxnOutcome, backoff};
-use crate::storage::keys;
 use crate::storage::records::{FinalRecord, JobRecord, SequenceRecord, VERSION};
+use crate::storage::{facts, keys};
 use crate::transport::client::CallError;
 
 const COMMAND_DEADLINE: Duration = Duration::from_secs(2);
@@ -205,34 +205,27 @@
 async fn finish(node: &Arc<Node>, tenure: &Arc<Tenure>, job: &str, mark: u64) {
     let mut attempt = 0;
     while !tenure.ended() {
-        let Ok(Some(item)) = node.state.get(&keys::job(job), STATE_DEADLINE).await else {
-            // Gone, or not to be read now.
-            if let Ok(None) = node.state.get(&keys::job(job), STATE_DEADLINE).await {
+        let item = match node.state.get(&keys::job(job), STATE_DEADLINE).await {
+            Ok(Some(item)) => item,
+            Ok(None) => {
                 node.with_shard(tenure, |shard, _| shard.job_gone(job, None));
                 return;
             }
-            attempt += 1;
-            tokio::time::sleep(backoff(attempt)).await;
-            continue;
+            Err(_) => {
+                attempt += 1;
+                tokio::time::sleep(backoff(attempt)).await;
+                continue;
+            }
         };
         let Ok(record) = serde_json::from_value::<JobRecord>(item.value) else {
             error!(job, "the record of a finished job can't be read");
             return;
         };
-        let last = FinalRecord {
-            v: VERSION,
-            stage: Stage::Done,
-            tasks: record.spec.tasks,
-            spec: record.spec,
-        };
-        let Ok(value) = serde_json::to_value(&last) else {
+        let last = FinalRecord::new(Stage::Done, record.spec);
+        let Ok(txn) = facts::end_job(job, mark, &last) else {
             return;
         };
-        let txn = Txn::default()
-            .guard(keys::owner(), tenure.term)
-            .guard(keys::job(job), mark)
-            .change(Change::delete(keys::job(job)))
-            .change(Change::put(keys::final_job(job), value));
+        let txn = txn.guard(keys::owner(), tenure.term);
         match node.state.txn(&txn, STATE_DEADLINE).await {
             Ok(TxnOutcome::Committed { .. }) => {
                 node.with_shard(tenure, |shard, _| {
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -18,8 +18,8 @@
 use crate::protocol::users::{JobKind, JobSpec, JobView, Stage, parse_submission, valid_job_id};
 use crate::settings::platform::Peer;
 use crate::storage::client::{StateError, TxnOutcome, backoff};
-use crate::storage::keys;
 use crate::storage::records::{FinalRecord, JobRecord, VERSION};
+use crate::storage::{facts, keys};
 
 /// Deadline of one request to the state service on a user's behalf.
 const STORE: Duration = Duration::from_millis(1500);
@@ -49,6 +49,17 @@
         Self::json(status, view)
     }
 
+    /// A job's stage alone, without the counts of its tasks.
+    fn stage(status: u16, id: &str, stage: Stage) -> Self {
+        let view = JobView {
+            id: id.to_owned(),
+            stage,
+            done: None,
+            running: None,
+        };
+        Self::view(status, &view)
+    }
+
     /// The service can't take or answer this now; come back soon.
     pub fn unavailable(why: &str) -> Self {
         Self::json(503, &json!({ "error": why }))
@@ -259,15 +270,7 @@
                     shard.job_put(id, revision, record, now)
                 });
             }
-            Ok(Reply::view(
-                201,
-                &JobView {
-                    id: id.to_owned(),
-                    stage: Stage::Pending,
-                    done: None,
-                    running: None,
-                },
-            ))
+            Ok(Reply::stage(201, id, Stage::Pending))
         }
         TxnOutcome::Conflict => poll(node, id).await,
     }
@@ -356,32 +359,15 @@
     loop {
         let Some(item) = read(node, &keys::job(id)).await? else {
             return Ok(match read_final(node, id).await? {
-                Some(last) => Reply::view(
-                    200,
-                    &JobView {
-                        id: id.to_owned(),
-                        stage: last.stage,
-                        done: None,
-                        running: None,
-                    },
-                ),
+                Some(last) => Reply::stage(200, id, last.stage),
                 None => Reply::not_found(),
             });
         };
         let record: JobRecord = serde_json::from_value(item.value)
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
-        let last = FinalRecord {
-            v: VERSION,
-            stage: Stage::Cancelled,
-            tasks: record.spec.tasks,
-            spec: record.spec,
-        };
-        let value =
-            serde_json::to_value(&last).map_err(|e| StateError::Unexpected(e.to_string()))?;
-        let txn = Txn::default()
-            .guard(keys::job(id), item.version)
-            .change(Change::delete(keys::job(id)))
-            .change(Change::put(keys::final_job(id), value));
+        let last = FinalRecord::new(Stage::Cancelled, record.spec);
+        let txn = facts::end_job(id, item.version, &last)
+            .map_err(|e| StateError::Unexpected(e.to_string()))?;
         match patient(|| node.state.txn(&txn, STORE)).await? {
             TxnOutcome::Committed { .. } => {
                 if let Some(tenure) = node.tenure() {
@@ -389,15 +375,7 @@
                         shard.job_gone(id, Some(Stage::Cancelled));
                     });
                 }
-                return Ok(Reply::view(
-                    200,
-                    &JobView {
-                        id: id.to_owned(),
-                        stage: Stage::Cancelled,
-                        done: None,
-                        running: None,
-                    },
-                ));
+                return Ok(Reply::stage(200, id, Stage::Cancelled));
             }
             TxnOutcome::Conflict => {
                 attempt += 1;
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -30,6 +30,18 @@
     pub spec: JobSpec,
 }
 
+impl FinalRecord {
+    /// The last record of a job with this description.
+    pub fn new(stage: Stage, spec: JobSpec) -> Self {
+        Self {
+            v: VERSION,
+            stage,
+            tasks: spec.tasks,
+            spec,
+        }
+    }
+}
+
 /// Who runs the shard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OwnerRecord {
