--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -16,7 +16,8 @@
 const LEAST_AGE: Duration = Duration::from_secs(60);
 /// Machines fuller than this are left alone.
 const MOST_FILL: f64 = 0.6;
-/// Machines that are emptied at once.
+/// Machines that are emptied at once. With four, wider hunts showed neither a
+/// better price nor a better score.
 const MOST_AT_ONCE: usize = 1;
 
 impl Shard {
