--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -15,11 +15,12 @@
  (staleness-s . 15.0)
  ;; Share of the state service's writes that snapshots may use [0.05 to 0.9].
  (snapshot-write-share . 0.5)
- ;; Silence after which a machine gets no new tasks [1 to 600].
- (suspect-s . 6.0)
- ;; Silence after which a machine is given back to the cloud, so that its tasks
- ;; can move at once [suspect-s to 3600].
- (abandon-s . 7.0)
+ ;; Silence after which a machine gets no new tasks, counted from when its next
+ ;; report was due at the latest, a quarter past the usual time [0.5 to 600].
+ (suspect-late-s . 2.25)
+ ;; The same after which a machine that answers no probe is given back to the
+ ;; cloud, so that its tasks can move at once [suspect-late-s to 3600].
+ (abandon-late-s . 3.25)
  ;; Capacity held ready beyond what runs and waits, as a share of it [0 to 10].
  (headroom . 0.1)
  ;; How long a machine may stay idle before it is given back [0 to 86400].
--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -87,16 +87,17 @@
     let Ok(body) = serde_json::to_vec(&batch) else {
         return CommandOutcome::NotSent;
     };
+    let (deadline, turns) = if commands.is_empty() {
+        (PROBE_DEADLINE, &node.probes)
+    } else {
+        (COMMAND_DEADLINE, &node.commands)
+    };
+    let _turn = turns.acquire().await;
     if !tenure.live(node.now()) {
         return CommandOutcome::NotSent;
     }
-    let deadline = if commands.is_empty() {
-        PROBE_DEADLINE
-    } else {
-        COMMAND_DEADLINE
-    };
     let answer = node
-        .http
+        .workers_http
         .call(Method::POST, addr, "/commands", body, deadline)
         .await;
     match answer {
@@ -266,7 +267,7 @@
 ) -> Result<T, Option<StatusCode>> {
     let addr = node.settings.platform.services.cloud;
     let answer = node
-        .http
+        .cloud_http
         .call(method, addr, path, body, CLOUD_DEADLINE)
         .await
         .map_err(|_| None)?;
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -26,6 +26,8 @@
     renewed: Mutex<Instant>,
     ended: AtomicBool,
     pub since: Instant,
+    /// Woken when the shard has something to decide.
+    pub work: Notify,
     /// Woken when the tenure ends.
     pub end: Notify,
     /// The shard's sequence number, held while a shard write is under way.
@@ -54,6 +56,7 @@
             renewed: Mutex::new(since),
             ended: AtomicBool::new(false),
             since,
+            work: Notify::new(),
             end: Notify::new(),
             sequence: tokio::sync::Mutex::new(Sequence::default()),
         }
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tracing::info;
 
 use super::lease::Tenure;
@@ -16,7 +17,8 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::peers::Pulse;
 use crate::settings::Settings;
-use crate::storage::client::{StateClient, backoff};
+use crate::storage::client::{StateClient, StateError, backoff};
+use crate::storage::ledger::Ledger;
 use crate::storage::records::OwnerRecord;
 use crate::transport::client::HttpClient;
 use crate::transport::limit::Limited;
@@ -25,11 +27,33 @@
 /// Deadline of ordinary state requests.
 pub const STATE_DEADLINE: Duration = Duration::from_millis(2500);
 
+/// How long an unused connection to a worker is kept: there are many workers,
+/// each with a connection of its own to us as well.
+const WORKER_IDLE: Duration = Duration::from_secs(5);
+/// Batches of commands under way at once; more wait for their turn.
+const MOST_COMMANDS: usize = 128;
+/// Probes under way at once. They have a limit of their own: silent machines
+/// must not hold up commands to the others.
+const MOST_PROBES: usize = 32;
+
 /// Shares of the sockets, in percent, for the two servers; the rest is for
 /// connections to others.
 const FRONT_SHARE: usize = 70;
 const INTERNAL_SHARE: usize = 10;
 
+/// Share of the state service's requests for looks by all controllers.
+const LOOK_SHARE: f64 = 0.2;
+/// Least pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// The pause between two looks that keeps all controllers' together within
+/// their share of the state service's requests.
+fn look_pace(settings: &Settings) -> Duration {
+    let controllers = settings.platform.others.len() as f64 + 1.0;
+    let rate = settings.platform.settings.state.rps * LOOK_SHARE / controllers;
+    Duration::from_secs_f64((1.0 / rate).min(1.0)).max(LOOK_PAUSE)
+}
+
 /// Why the process ends.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -61,6 +85,8 @@
     pub peers: HashMap<String, PeerView>,
     /// Workers that tried to report here, and when.
     pub workers: HashMap<String, Instant>,
+    /// Unfinished jobs with their tasks done and running, as the owner last said.
+    pub progress: HashMap<String, (u32, u32)>,
     /// The zone that holds most machines, as the owner last said.
     pub main_zone: Option<String>,
     /// An attempt to acquire the shard is under way, or its outcome unknown.
@@ -79,7 +105,12 @@
     pub policy: Policy,
     pub clock: Arc<dyn Clock>,
     pub state: StateClient,
-    pub http: HttpClient,
+    pub ledger: Ledger,
+    pub cloud_http: HttpClient,
+    pub workers_http: HttpClient,
+    /// Batches of commands, and probes, that may be under way to workers.
+    pub commands: Semaphore,
+    pub probes: Semaphore,
     pub peers_http: HttpClient,
     /// Tells this run of the process from earlier ones.
     pub run: u64,
@@ -91,12 +122,17 @@
     pub fn new(settings: Settings, clock: Arc<dyn Clock>) -> Arc<Self> {
         let state = StateClient::new(settings.platform.services.state, clock.clone());
         let started = clock.now();
+        let ledger = Ledger::new(look_pace(&settings));
         Arc::new(Self {
             policy: Policy::new(&settings),
             settings,
             clock,
             state,
-            http: HttpClient::new(),
+            ledger,
+            cloud_http: HttpClient::new(),
+            workers_http: HttpClient::keeping(WORKER_IDLE),
+            commands: Semaphore::new(MOST_COMMANDS),
+            probes: Semaphore::new(MOST_PROBES),
             peers_http: HttpClient::new(),
             run: rand::rng().random::<u64>() >> 12,
             started,
@@ -112,12 +148,19 @@
         self.clock.now()
     }
 
+    /// Brings the ledger of jobs up to date; what it says afterwards was true
+    /// at some moment after this call.
+    pub async fn look(&self) -> Result<(), StateError> {
+        self.ledger.look(&self.state, &*self.clock).await
+    }
+
     pub fn label(&self) -> &str {
         &self.settings.platform.label
     }
 
-    /// Gives the shard of this tenure an event, and carries out what it
-    /// decides. None if the tenure is over.
+    /// Gives the shard of this tenure an event, and carries out what follows
+    /// from it at once. What it needs decided, the next pass decides for many
+    /// events together. None if the tenure is over.
     pub fn with_shard<T>(
         self: &Arc<Self>,
         tenure: &Arc<Tenure>,
@@ -131,7 +174,9 @@
                 .as_mut()
                 .filter(|own| Arc::ptr_eq(&own.tenure, tenure) && !tenure.ended())?;
             let result = event(&mut ownership.shard, now);
-            ownership.shard.settle(now);
+            if ownership.shard.restless() {
+                tenure.work.notify_one();
+            }
             (result, ownership.shard.take_actions())
         };
         for action in actions {
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -11,11 +11,20 @@
 use super::{io, peering};
 use crate::protocol::state::{Change, Item, News, Txn};
 use crate::storage::client::{StateError, TxnOutcome, backoff};
-use crate::storage::keys;
 use crate::storage::records::{JobRecord, OwnerRecord, SequenceRecord, VERSION};
+use crate::storage::{keys, roster};
 
 /// Pause between two looks at the shard's timers.
 const TICK: Duration = Duration::from_millis(200);
+/// Longest pause between two looks at the timers, however long one takes.
+const LONGEST_TICK: Duration = Duration::from_secs(1);
+/// Rest after a pass, in times of what it took.
+const PASS_REST: u32 = 3;
+/// Shortest and longest rest.
+const SHORTEST_REST: Duration = Duration::from_millis(10);
+const LONGEST_REST: Duration = Duration::from_millis(150);
+/// Pause between two summaries in the log.
+const SUMMARY: Duration = Duration::from_secs(30);
 /// How long one watch waits.
 const WATCH: Duration = Duration::from_secs(3);
 /// Share of the lease without a renewal past which an owner sees trouble.
@@ -302,26 +311,51 @@
     });
     tokio::spawn(watch_jobs(node.clone(), tenure.clone(), revision));
     tokio::spawn(io::watch_cloud(node.clone(), tenure.clone()));
-    let mut ticks = 0_u64;
+    decide(node, &tenure).await;
+    let mut inner = node.lock();
+    inner.ownership = None;
+    drop(inner);
+    info!(term = tenure.term, "shard given up");
+}
+
+/// Has the shard decide, after events and now and then, until the tenure ends.
+///
+/// Events come far more often than decisions are worth making on a share of a
+/// core: the costlier a pass was, the longer the next one waits, and the more
+/// events it serves.
+async fn decide(node: &Arc<Node>, tenure: &Arc<Tenure>) {
+    let mut next_tick = node.now();
+    let mut next_summary = node.now() + SUMMARY;
     while !tenure.ended() {
         tokio::select! {
-            () = tokio::time::sleep(TICK) => {}
+            () = tokio::time::sleep(next_tick.saturating_duration_since(node.now())) => {}
+            () = tenure.work.notified() => {}
             () = tenure.end.notified() => {}
         }
-        if tenure.live(node.now()) {
-            node.with_shard(&tenure, |shard, now| shard.tick(now));
+        let begun = node.now();
+        let ticks = begun >= next_tick;
+        if tenure.live(begun) {
+            node.with_shard(tenure, |shard, now| {
+                if ticks {
+                    shard.tick(now);
+                } else {
+                    shard.settle(now);
+                }
+            });
         }
-        ticks += 1;
-        if ticks.is_multiple_of(150)
-            && let Some(summary) = node.with_shard(&tenure, |shard, _| shard.summary())
-        {
-            info!(term = tenure.term, summary, "shard");
+        let ended = node.now();
+        let cost = ended.saturating_duration_since(begun);
+        if ticks {
+            next_tick = ended + TICK.max((cost * PASS_REST).min(LONGEST_TICK));
         }
+        if ended >= next_summary {
+            next_summary = ended + SUMMARY;
+            if let Some(summary) = node.with_shard(tenure, |shard, _| shard.summary()) {
+                info!(term = tenure.term, summary, "shard");
+            }
+        }
+        tokio::time::sleep((cost * PASS_REST).clamp(SHORTEST_REST, LONGEST_REST)).await;
     }
-    let mut inner = node.lock();
-    inner.ownership = None;
-    drop(inner);
-    info!(term = tenure.term, "shard given up");
 }
 
 /// Ends a tenure at once, so that another controller can begin.
@@ -336,11 +370,20 @@
 async fn load(node: &Arc<Node>, tenure: &Tenure) -> Result<(Loaded, u64), StateError> {
     let state = &node.state;
     let deadline = Duration::from_secs(2);
-    let (job_items, revision) = state.list(keys::JOBS, deadline).await?;
-    let (roster, _) = state.list(&keys::roster_prefix(), deadline).await?;
-    let (chunks, _) = state.list(&keys::snapshot_prefix(), deadline).await?;
-    let (bookings, _) = state.list(&keys::booking_prefix(), deadline).await?;
-    let sequence = match state.get(&keys::sequence(), deadline).await? {
+    let (roster, snapshot, bookings, sequence) = (
+        keys::roster_prefix(),
+        keys::snapshot_prefix(),
+        keys::booking_prefix(),
+        keys::sequence(),
+    );
+    let ((job_items, revision), (roster, _), (chunks, _), (bookings, _), sequence) = tokio::try_join!(
+        state.list(keys::JOBS, deadline),
+        state.list(&roster, deadline),
+        state.list(&snapshot, deadline),
+        state.list(&bookings, deadline),
+        state.get(&sequence, deadline),
+    )?;
+    let sequence = match sequence {
         Some(item) => Sequence {
             version: item.version,
             n: serde_json::from_value::<SequenceRecord>(item.value).map_or(0, |r| r.n),
@@ -350,14 +393,7 @@
     *tenure.sequence.lock().await = sequence;
     let loaded = Loaded {
         jobs: job_items.into_iter().filter_map(read_job).collect(),
-        roster: roster
-            .into_iter()
-            .filter_map(|item| {
-                let id = item.key.strip_prefix(&keys::roster_prefix())?.to_owned();
-                let record = read(&item)?;
-                Some(LoadedMachine { id, record })
-            })
-            .collect(),
+        roster: roster.iter().flat_map(read_roster).collect(),
         chunks: chunks
             .into_iter()
             .map(|item| (item.key, item.value))
@@ -377,6 +413,19 @@
     }
 }
 
+fn read_roster(item: &Item) -> Vec<LoadedMachine> {
+    let page = item.key.strip_prefix(&keys::roster_prefix());
+    let page = page.and_then(|page| page.parse().ok());
+    let (Some(page), Some(machines)) = (page, roster::read_page(&item.value)) else {
+        tracing::error!(key = item.key, "a page of the roster can't be read");
+        return Vec::new();
+    };
+    machines
+        .into_iter()
+        .map(|(id, record)| LoadedMachine { id, page, record })
+        .collect()
+}
+
 fn read_job(item: Item) -> Option<(String, u64, JobRecord)> {
     let id = item.key.strip_prefix(keys::JOBS)?.to_owned();
     let record = read(&item)?;
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -8,7 +8,9 @@
 
 use super::node::{Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
-use crate::protocol::peers::{PeerAnswer, PeerRequest, Pulse, decode_answer, encode_request};
+use crate::protocol::peers::{
+    PeerAnswer, PeerRequest, Progress, Pulse, decode_answer, encode_request,
+};
 use crate::protocol::state::{Change, Txn};
 use crate::settings::platform::Peer;
 use crate::storage::keys;
@@ -16,8 +18,6 @@
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
-/// For the look at the state service: what takes longer counts as a failure.
-const PROBE_DEADLINE: Duration = Duration::from_millis(1000);
 const PULSE_DEADLINE: Duration = Duration::from_millis(700);
 /// How long a worker that came by counts as heard.
 const HEARD: Duration = Duration::from_secs(8);
@@ -118,14 +118,37 @@
         up_s: now.saturating_duration_since(node.started).as_secs(),
         term,
         main_zone: inner.main_zone.clone(),
+        progress: Vec::new(),
         deaf: inner.deaf_until.is_some_and(|until| until > now),
     }
 }
 
+/// How far the jobs are, if this node runs the shard.
+fn progress(node: &Node) -> Vec<Progress> {
+    let inner = node.lock();
+    let Some(own) = &inner.ownership else {
+        return Vec::new();
+    };
+    own.shard
+        .progress()
+        .map(|(job, done, running)| Progress {
+            job: job.to_string(),
+            done,
+            running,
+        })
+        .collect()
+}
+
 /// Notes what a peer says of itself.
-pub fn heard_pulse(node: &Node, pulse: Pulse) {
+pub fn heard_pulse(node: &Node, mut pulse: Pulse) {
     let at = node.now();
     let mut inner = node.lock();
+    if pulse.term.is_some() && !pulse.progress.is_empty() {
+        inner.progress = std::mem::take(&mut pulse.progress)
+            .into_iter()
+            .map(|row| (row.job, (row.done, row.running)))
+            .collect();
+    }
     if pulse.term.is_some() && pulse.main_zone.is_some() {
         inner.main_zone.clone_from(&pulse.main_zone);
     }
@@ -149,10 +172,12 @@
                 "readiness changed"
             );
         }
+        let mut own = own_pulse(&node);
+        own.progress = progress(&node);
         for peer in &node.settings.platform.others {
             let (node, peer) = (node.clone(), peer.clone());
+            let request = PeerRequest::Pulse(own.clone());
             tokio::spawn(async move {
-                let request = PeerRequest::Pulse(own_pulse(&node));
                 if let Some(PeerAnswer::Pulse(pulse)) =
                     ask(&node, &peer, &request, PULSE_DEADLINE).await
                 {
@@ -163,7 +188,7 @@
         // A look at the state service keeps this node's picture of it fresh.
         let probing = node.clone();
         tokio::spawn(async move {
-            let _ = probing.state.get(&keys::owner(), PROBE_DEADLINE).await;
+            let _ = probing.look().await;
         });
         tokio::time::sleep(ROUND).await;
         tell_hearing(&node).await;
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -18,6 +18,7 @@
 use crate::protocol::users::{JobKind, JobSpec, JobView, Stage, parse_submission, valid_job_id};
 use crate::settings::platform::Peer;
 use crate::storage::client::{StateError, TxnOutcome, backoff};
+use crate::storage::ledger::Known;
 use crate::storage::records::{FinalRecord, JobRecord, VERSION};
 use crate::storage::{facts, keys};
 
@@ -25,6 +26,8 @@
 const STORE: Duration = Duration::from_millis(1500);
 /// After this long without the store's answer, a peer is asked as well.
 const HEDGE: Duration = Duration::from_millis(80);
+/// The same for polls, which wait for a look that answers many.
+const POLL_HEDGE: Duration = Duration::from_millis(600);
 /// Deadline of a request handed to a peer.
 const FORWARD: Duration = Duration::from_millis(900);
 /// Tries after a 429, which only means that others are being served.
@@ -126,11 +129,11 @@
         _ => None,
     };
     if !forwarded {
-        if let Ask::Poll(_) = &ask
-            && let Some(owner) = owner_peer(node)
-            && let Some(reply) = forward(node, &owner, &ask).await
+        // Final states are the same for ever.
+        if let Ask::Poll(id) = &ask
+            && let Some((stage, tasks)) = node.ledger.final_state(id)
         {
-            return reply;
+            return Reply::view(200, &final_view(id, stage, tasks));
         }
         if node.state_lost() && node.peer_served() {
             return hand_on(node, &ask).await;
@@ -150,7 +153,11 @@
     tokio::pin!(own);
     // All of these can be asked twice: whoever answers first will do.
     let hedge = async {
-        tokio::time::sleep(HEDGE).await;
+        tokio::time::sleep(match ask {
+            Ask::Poll(_) => POLL_HEDGE,
+            Ask::Submit(_) | Ask::Cancel(_) => HEDGE,
+        })
+        .await;
         hand_on(node, &ask).await
     };
     tokio::pin!(hedge);
@@ -176,17 +183,6 @@
     Reply::unavailable("the state service does not answer")
 }
 
-/// The peer that runs the shard, if it is one.
-fn owner_peer(node: &Node) -> Option<Peer> {
-    let label = node.owner_label()?;
-    node.settings
-        .platform
-        .others
-        .iter()
-        .find(|peer| peer.label == label)
-        .cloned()
-}
-
 /// Hands a request to the peers that the state service serves, one by one.
 async fn hand_on(node: &Arc<Node>, ask: &Ask) -> Reply {
     let served: Vec<Peer> = {
@@ -328,30 +324,45 @@
     .transpose()
 }
 
-/// Reads the unfinished record first: a job moves from there to the final
-/// one and never back, so that finding neither means it never was.
+/// Looks for the job among the unfinished ones first: a job moves from there to
+/// its final record and never back, so that finding neither means it never was.
 async fn poll(node: &Arc<Node>, id: &str) -> Result<Reply, StateError> {
-    if read(node, &keys::job(id)).await?.is_some() {
-        let seen = node
-            .tenure()
-            .and_then(|tenure| node.with_shard(&tenure, |shard, _| shard.view(id)))
-            .flatten();
-        let (stage, done, running) = seen.unwrap_or((Stage::Pending, 0, 0));
-        return Ok(Reply::view(200, &view(id, stage, done, running)));
+    patient(|| node.look()).await?;
+    match node.ledger.find(id) {
+        Known::Open => {
+            let (done, running) = progress(node, id);
+            let stage = if running > 0 {
+                Stage::Running
+            } else {
+                Stage::Pending
+            };
+            Ok(Reply::view(200, &view(id, stage, done, running)))
+        }
+        Known::Over(stage, tasks) => Ok(Reply::view(200, &final_view(id, stage, tasks))),
+        Known::Unclear => Ok(match read_final(node, id).await? {
+            Some(last) => {
+                node.ledger.note_final(id, &last);
+                Reply::view(200, &final_view(id, last.stage, last.tasks))
+            }
+            None => Reply::not_found(),
+        }),
     }
-    Ok(match read_final(node, id).await? {
-        Some(last) => Reply::view(200, &final_view(id, &last)),
-        None => Reply::not_found(),
-    })
 }
 
-fn final_view(id: &str, last: &FinalRecord) -> JobView {
-    let done = if last.stage == Stage::Done {
-        last.tasks
-    } else {
-        0
+/// Tasks done and running, for display: from the shard, or as its owner last
+/// said.
+fn progress(node: &Arc<Node>, id: &str) -> (u32, u32) {
+    let inner = node.lock();
+    let seen = match &inner.ownership {
+        Some(own) => own.shard.view(id).map(|(_, done, running)| (done, running)),
+        None => inner.progress.get(id).copied(),
     };
-    view(id, last.stage, done, 0)
+    seen.unwrap_or_default()
+}
+
+fn final_view(id: &str, stage: Stage, tasks: u32) -> JobView {
+    let done = if stage == Stage::Done { tasks } else { 0 };
+    view(id, stage, done, 0)
 }
 
 async fn cancel(node: &Arc<Node>, id: &str) -> Result<Reply, StateError> {
@@ -370,6 +381,7 @@
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
         match patient(|| node.state.txn(&txn, STORE)).await? {
             TxnOutcome::Committed { .. } => {
+                node.ledger.note_final(id, &last);
                 if let Some(tenure) = node.tenure() {
                     node.with_shard(&tenure, |shard, _| {
                         shard.job_gone(id, Some(Stage::Cancelled));
--- /dev/null
+++ b/src/coordination/shard/book.rs
@@ -0,0 +1,143 @@
+//! The shard's machines, each with a tally of what may run on it.
+//!
+//! Decisions look at machines far more often than machines change. So every
+//! mutable access marks the machine, and [`Machines::refresh`] counts the
+//! marked ones again before the next look.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::commands::{needs_telling, withdrawable};
+use super::machines::{Amounts, Machine};
+use crate::protocol::MachineId;
+use crate::protocol::users::{JobKind, JobSpec, Priority};
+
+/// What may run on one machine, counted from its attempts.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub struct Tally {
+    /// How many tasks of which jobs may be there.
+    pub tasks: Vec<(Arc<JobSpec>, u32)>,
+    /// What they take together.
+    pub used: Amounts,
+    /// Attempts of jobs that are not known: they may take all of it.
+    pub unknown: u32,
+    /// Some attempt is to stop.
+    pub stopping: bool,
+    /// Some attempt has to be told to the worker.
+    pub to_tell: bool,
+    /// Some launch was never sent and is not wanted any more.
+    pub to_withdraw: bool,
+}
+
+impl Tally {
+    /// Counts a machine's attempts.
+    pub fn of(machine: &Machine) -> Self {
+        let mut tally = Self::default();
+        for attempt in machine.attempts.values() {
+            tally.to_tell |= needs_telling(attempt);
+            tally.to_withdraw |= withdrawable(attempt);
+            if attempt.ended() {
+                continue;
+            }
+            tally.stopping |= attempt.stop.is_some();
+            let Some(spec) = &attempt.spec else {
+                tally.unknown += 1;
+                continue;
+            };
+            tally.used.give(spec);
+            // Tasks of one job mostly stand together.
+            match tally
+                .tasks
+                .iter_mut()
+                .rev()
+                .find(|(known, _)| Arc::ptr_eq(known, spec))
+            {
+                Some((_, count)) => *count += 1,
+                None => tally.tasks.push((spec.clone(), 1)),
+            }
+        }
+        tally
+    }
+
+    /// Whether nothing may run there.
+    pub fn idle(&self) -> bool {
+        self.tasks.is_empty() && self.unknown == 0
+    }
+
+    /// The services that may be there.
+    pub fn services(&self) -> impl Iterator<Item = &(Arc<JobSpec>, u32)> {
+        self.tasks
+            .iter()
+            .filter(|(spec, _)| spec.kind == JobKind::Standing)
+    }
+
+    /// Whether some task there has a lower priority.
+    pub fn has_lesser(&self, priority: Priority) -> bool {
+        self.tasks.iter().any(|(spec, _)| spec.priority < priority)
+    }
+}
+
+/// All machines by name.
+#[derive(Debug, Default)]
+pub struct Machines {
+    all: BTreeMap<MachineId, Machine>,
+    changed: BTreeSet<MachineId>,
+}
+
+impl Machines {
+    pub fn get(&self, id: &str) -> Option<&Machine> {
+        self.all.get(id)
+    }
+
+    /// A machine to change; its tally is counted again before the next look.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Machine> {
+        let machine = self.all.get_mut(id)?;
+        if !self.changed.contains(id) {
+            self.changed.insert(machine.id.clone());
+        }
+        Some(machine)
+    }
+
+    pub fn contains(&self, id: &str) -> bool {
+        self.all.contains_key(id)
+    }
+
+    pub fn insert(&mut self, machine: Machine) {
+        self.changed.insert(machine.id.clone());
+        self.all.insert(machine.id.clone(), machine);
+    }
+
+    pub fn remove(&mut self, id: &str) -> Option<Machine> {
+        self.changed.remove(id);
+        self.all.remove(id)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Machine> + Clone {
+        self.all.values()
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// The names of the machines that fit a condition.
+    pub fn ids(&self, which: impl Fn(&Machine) -> bool) -> Vec<MachineId> {
+        self.values()
+            .filter(|machine| which(machine))
+            .map(|machine| machine.id.clone())
+            .collect()
+    }
+
+    /// Counts the machines again that may have changed.
+    pub fn refresh(&mut self) {
+        for id in std::mem::take(&mut self.changed) {
+            if let Some(machine) = self.all.get_mut(&id) {
+                machine.tally = Tally::of(machine);
+            }
+        }
+    }
+}
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use super::fleet::Fleet;
-use super::{Job, Machine, Policy, Shard, writes};
+use super::{Job, Machine, Machines, Policy, Shard, writes};
 use crate::protocol::MachineId;
 use crate::storage::records::{BookingRecord, JobRecord, RosterRecord};
 use crate::storage::snapshot;
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone)]
 pub struct LoadedMachine {
     pub id: String,
+    /// The page that holds it.
+    pub page: u32,
     pub record: RosterRecord,
 }
 
@@ -47,7 +49,7 @@
             acquired_wall_ms: wall_ms,
             types: HashMap::new(),
             jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
+            machines: Machines::default(),
             gone: HashMap::new(),
             unresolved: BTreeSet::new(),
             fleet: Fleet::default(),
@@ -58,6 +60,8 @@
             next_command: 0,
             main_zone: None,
             restless: true,
+            running: HashMap::new(),
+            counted: None,
             out: Vec::new(),
         };
         for (id, mark, record) in loaded.jobs {
@@ -73,23 +77,26 @@
             if let Some(job) = shard.jobs.get_mut(id.as_str()) {
                 for (from, to) in progress.done.ranges() {
                     for n in from..=to.min(job.spec.tasks - 1) {
-                        job.done.insert(n);
+                        job.complete(n);
                     }
                 }
             }
         }
         shard.writes.written = loaded.chunks;
         let lease_over = now + shard.policy.lease_surely_over();
-        for LoadedMachine { id, record } in loaded.roster {
+        for LoadedMachine { id, page, record } in loaded.roster {
             let id: MachineId = id.as_str().into();
+            shard.writes.roster.load(page, id.clone(), record.clone());
             let mut machine = Machine::new(id.clone(), now, lease_over);
-            machine.addr = record.addr;
-            machine.machine_type = record.machine_type;
-            machine.zone = record.zone;
-            machine.spot = record.spot;
+            machine.describe(
+                &record.addr,
+                &record.machine_type,
+                &record.zone,
+                record.spot,
+            );
             machine.admitted = true;
             shard.unresolved.insert(id.clone());
-            shard.machines.insert(id.clone(), machine);
+            shard.machines.insert(machine);
             if record.returning {
                 shard.begin_deletion(&id, now, "its return was on record");
             } else {
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -10,23 +10,22 @@
 
 /// Pause before commands are sent again by themselves; reports carry them too.
 const RETRY: Duration = Duration::from_secs(1);
+/// Silence past the latest usual report after which a worker is asked.
+const PROBE_LATE: Duration = Duration::from_millis(750);
 
 impl Shard {
     /// Takes back launches that were never sent and are not wanted any more.
     pub(super) fn withdraw_launches(&mut self, now: Instant) {
+        self.machines.refresh();
         let withdrawn: Vec<(MachineId, (TaskId, u64))> = self
             .machines
             .values()
+            .filter(|machine| machine.tally.to_withdraw)
             .flat_map(|machine| {
                 machine
                     .attempts
                     .iter()
-                    .filter(|(_, a)| {
-                        a.phase == Phase::Launching
-                            && a.stop.is_some()
-                            && !a.in_flight
-                            && !a.unanswered
-                    })
+                    .filter(|(_, attempt)| withdrawable(attempt))
                     .map(|(key, _)| (machine.id.clone(), key.clone()))
             })
             .collect();
@@ -37,18 +36,14 @@
 
     /// Sends what each machine has not been told yet.
     pub(super) fn flush_commands(&mut self, now: Instant) {
-        let ids: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| {
-                m.synced
-                    && m.command.is_none()
-                    && !m.deleting
-                    && m.command_retry.is_none_or(|at| at <= now)
-                    && m.attempts.values().any(needs_telling)
-            })
-            .map(|m| m.id.clone())
-            .collect();
+        self.machines.refresh();
+        let ids = self.machines.ids(|m| {
+            m.tally.to_tell
+                && m.synced
+                && m.command.is_none()
+                && !m.deleting
+                && m.command_retry.is_none_or(|at| at <= now)
+        });
         for id in ids {
             self.send_commands(&id);
         }
@@ -123,7 +118,7 @@
             .machines
             .values()
             .filter(|m| {
-                let quiet = m.silence(now) > self.policy.report.mul_f64(1.5);
+                let quiet = m.silence(now) > self.policy.report.mul_f64(1.25) + PROBE_LATE;
                 (!m.synced || quiet)
                     && m.should_report()
                     && m.command.is_none()
@@ -231,9 +226,7 @@
     /// A task may start elsewhere: its attempt here has ended or is gone.
     pub(super) fn release(&mut self, id: &MachineId, task: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&task.job) {
-            if job.live.get(&task.index) == Some(id) {
-                job.live.remove(&task.index);
-            }
+            job.lift(task.index, id);
             let job_id = job.id.clone();
             self.drop_job_if_empty(&job_id);
         }
@@ -263,7 +256,7 @@
         let over: Vec<MachineId> = self
             .machines
             .values()
-            .filter(|m| now > m.lease_over && (m.busy() || self.unresolved.contains(&m.id)))
+            .filter(|m| now > m.lease_over && (!m.tally.idle() || self.unresolved.contains(&m.id)))
             .map(|m| m.id.clone())
             .collect();
         for id in over {
@@ -292,8 +285,16 @@
     }
 }
 
+/// Whether a launch was never sent and is not wanted any more.
+pub(super) fn withdrawable(attempt: &Attempt) -> bool {
+    attempt.phase == Phase::Launching
+        && attempt.stop.is_some()
+        && !attempt.in_flight
+        && !attempt.unanswered
+}
+
 /// Whether a machine should hear of an attempt by `/commands` now.
-fn needs_telling(attempt: &Attempt) -> bool {
+pub(super) fn needs_telling(attempt: &Attempt) -> bool {
     if attempt.in_flight {
         return false;
     }
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -60,12 +60,12 @@
         let far = self
             .machines
             .values()
-            .filter(|m| m.zone != *main && m.synced && !m.deleting)
+            .filter(|m| *m.zone != **main && m.synced && !m.deleting)
             .find_map(|machine| {
                 let (key, ..) = live_services(machine).find(|(_, _, spec)| {
                     spec.tasks == 1
                         && bins.iter().any(|bin| {
-                            bin.zone == *main
+                            *bin.zone == **main
                                 && bin.free.fits(spec) > 0
                                 && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
                                 && self.is_open_holder(bin, &spec.image)
@@ -103,8 +103,11 @@
     /// Opens the machine being emptied again; false if there was none.
     pub(super) fn stop_draining(&mut self) -> bool {
         let mut any = false;
-        for machine in self.machines.values_mut() {
-            any |= std::mem::take(&mut machine.draining) && !machine.deleting;
+        for id in self.machines.ids(|m| m.draining) {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.draining = false;
+                any |= !machine.deleting;
+            }
         }
         self.restless |= any;
         any
@@ -148,16 +151,18 @@
 
     fn free_now(&self, id: &MachineId) -> Option<Amounts> {
         let machine = self.machines.get(id)?;
-        let kind = self.types.get(&machine.machine_type)?;
+        let kind = self.types.get(&*machine.machine_type)?;
         Some(machine.free(kind))
     }
 
     /// What a machine has beside its services: batch work on it ends.
     fn beside_services(&self, machine: &Machine) -> Option<Amounts> {
-        let mut room = Amounts::of_type(self.types.get(&machine.machine_type)?);
-        for attempt in machine.attempts.values().filter(|a| !a.ended()) {
-            let spec = attempt.spec.as_ref()?;
-            if spec.kind == JobKind::Standing {
+        if machine.tally.unknown > 0 {
+            return None;
+        }
+        let mut room = Amounts::of_type(self.types.get(&*machine.machine_type)?);
+        for (spec, count) in machine.tally.services() {
+            for _ in 0..*count {
                 room.take(spec);
             }
         }
@@ -172,7 +177,7 @@
             let Some(machine) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else {
                 continue;
             };
-            let Some(kind) = self.types.get(&machine.machine_type) else {
+            let Some(kind) = self.types.get(&*machine.machine_type) else {
                 continue;
             };
             let Some(room) = self.beside_services(machine) else {
@@ -181,7 +186,7 @@
             let fill = 1.0 - room.cores / kind.cores.max(1e-9);
             let settled = machine.open(now, self.policy.suspect)
                 && now.saturating_duration_since(machine.rented) >= LEAST_AGE;
-            if !settled || machine.spot || !machine.busy() || fill > MOST_FILL {
+            if !settled || machine.spot || machine.tally.idle() || fill > MOST_FILL {
                 continue;
             }
             let waste = kind.price * (1.0 - fill);
@@ -273,5 +278,5 @@
 }
 
 pub(super) fn hosts_services(machine: &Machine) -> bool {
-    live_services(machine).next().is_some()
+    machine.tally.services().next().is_some()
 }
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -13,6 +13,9 @@
 /// Most machines in one rental request.
 pub(super) const MOST_PER_RENTAL: u32 = 50;
 
+/// Most machines in one deletion request.
+const MOST_PER_DELETION: usize = 100;
+
 /// How long work that can wait may still use costly machines after the last
 /// time that some of it couldn't.
 const PRESSURE: Duration = Duration::from_secs(20);
@@ -152,12 +155,15 @@
                 self.out.push(Action::Rent(booking.rental.clone()));
             }
         }
-        for machine in self.machines.values_mut() {
-            if machine.deletion_retry.is_some_and(|at| at <= now) {
+        let again = self
+            .machines
+            .ids(|m| m.deletion_retry.is_some_and(|at| at <= now));
+        for id in &again {
+            if let Some(machine) = self.machines.get_mut(id) {
                 machine.deletion_retry = None;
-                self.out.push(Action::Delete(vec![machine.id.clone()]));
             }
         }
+        self.delete(&again);
     }
 
     /// Gives back machines that are silent, so that their tasks can move.
@@ -221,6 +227,13 @@
         self.record_return(id);
     }
 
+    /// Asks the cloud to delete machines whose return is on record.
+    pub(super) fn delete(&mut self, ids: &[MachineId]) {
+        for batch in ids.chunks(MOST_PER_DELETION) {
+            self.out.push(Action::Delete(batch.to_vec()));
+        }
+    }
+
     /// The cloud answered (or didn't) a deletion.
     pub fn deletion_answered(&mut self, ids: &[MachineId], done: bool, now: Instant) {
         for id in ids {
@@ -295,14 +308,12 @@
         rented: Instant,
     ) {
         let id: MachineId = name.into();
-        if self.gone.contains_key(&id) || self.machines.contains_key(&id) {
+        if self.gone.contains_key(&id) || self.machines.contains(&id) {
             return;
         }
         let mut machine = Machine::new(id.clone(), rented, rented);
-        machine.machine_type = machine_type.to_owned();
-        machine.zone = zone.to_owned();
-        machine.spot = spot;
-        self.machines.insert(id, machine);
+        machine.describe("", machine_type, zone, spot);
+        self.machines.insert(machine);
     }
 
     /// A rental that an earlier owner recorded and perhaps requested.
@@ -333,9 +344,11 @@
                 entry.spot,
                 rented,
             );
-            if let Some(machine) = self.machines.get_mut(entry.id.as_str()) {
+            let news = |m: &Machine| !m.listed || m.addr.is_empty() || m.rented > rented;
+            if self.machines.get(&entry.id).is_some_and(news)
+                && let Some(machine) = self.machines.get_mut(&entry.id)
+            {
                 machine.listed = true;
-                machine.vanished = false;
                 machine.rented = machine.rented.min(rented);
                 if machine.addr.is_empty() {
                     machine.addr.clone_from(&entry.addr);
@@ -344,11 +357,15 @@
         }
         let present: std::collections::HashSet<&str> =
             list.iter().map(|entry| entry.id.as_str()).collect();
-        for machine in self.machines.values_mut() {
-            // A list may be older than the one before: this alone proves
-            // nothing, but a machine that is silent as well is best deleted.
-            machine.vanished = !present.contains(&*machine.id)
-                && (machine.listed || machine.heard.is_some() || machine.admitted);
+        // A list may be older than the one before: this alone proves nothing,
+        // but a machine that is silent as well is best deleted.
+        let missing = |m: &Machine| {
+            !present.contains(&*m.id) && (m.listed || m.heard.is_some() || m.admitted)
+        };
+        for id in self.machines.ids(|m| m.vanished != missing(m)) {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.vanished = !present.contains(&*id);
+            }
         }
         for id in failed {
             self.begin_deletion(&id, now, "the cloud lists it as failed");
@@ -407,7 +424,7 @@
         for machine in self.machines.values().filter(|m| !m.deleting) {
             let age = now.saturating_duration_since(machine.rented);
             if machine.heard.is_none() && !machine.admitted {
-                let patience = match self.types.get(&machine.machine_type) {
+                let patience = match self.types.get(&*machine.machine_type) {
                     Some(kind) => startup(kind).mul_f64(4.0) + Duration::from_secs(30),
                     None => Duration::from_secs(300),
                 };
@@ -416,11 +433,8 @@
                 }
                 continue;
             }
-            if machine
-                .attempts
-                .values()
-                .any(|a| !a.ended() || !a.clearable)
-            {
+            let unrecorded = |m: &Machine| m.attempts.values().any(|a| !a.clearable);
+            if !machine.tally.idle() || unrecorded(machine) {
                 continue;
             }
             let idle = machine
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -23,9 +23,12 @@
     pub mark: u64,
     /// Time of day of its acceptance, in milliseconds.
     pub at_ms: u64,
-    pub done: TaskSet,
+    done: TaskSet,
     /// Tasks that may exist on a machine. Ended ones are not among them.
-    pub live: HashMap<u32, MachineId>,
+    live: HashMap<u32, MachineId>,
+    /// Tasks that are both: they ended as done while another attempt of them
+    /// may still exist.
+    both: u32,
     /// Where tasks failed, to be avoided.
     pub failed_on: BTreeSet<MachineId>,
     pub failures: u32,
@@ -35,7 +38,7 @@
     /// Its final state, if it is over.
     pub over: Option<Stage>,
     pub finish_sent: bool,
-    /// First task that may still wait.
+    /// Where to look first for a task that waits.
     cursor: u32,
 }
 
@@ -48,6 +51,7 @@
             at_ms: record.at_ms,
             done: TaskSet::default(),
             live: HashMap::new(),
+            both: 0,
             failed_on: BTreeSet::new(),
             failures: 0,
             not_before: None,
@@ -63,19 +67,50 @@
         if self.over.is_some() {
             return 0;
         }
-        // Done and live are disjoint but for a task that ended as done while
-        // another attempt of it may still exist.
-        let overlap = self.live.keys().filter(|n| self.done.contains(**n)).count() as u32;
-        (self.spec.tasks + overlap).saturating_sub(self.done.len() + self.live.len() as u32)
+        (self.spec.tasks + self.both).saturating_sub(self.done.len() + self.live.len() as u32)
+    }
+
+    pub fn done(&self) -> &TaskSet {
+        &self.done
+    }
+
+    /// Tasks that may exist, and where.
+    pub fn live(&self) -> &HashMap<u32, MachineId> {
+        &self.live
+    }
+
+    /// A task has completed.
+    pub fn complete(&mut self, index: u32) {
+        if self.done.insert(index) && self.live.contains_key(&index) {
+            self.both += 1;
+        }
+    }
+
+    /// A task may be on a machine from now on, unless it may be on another.
+    pub fn put(&mut self, index: u32, machine: &MachineId) {
+        if let std::collections::hash_map::Entry::Vacant(free) = self.live.entry(index) {
+            free.insert(machine.clone());
+            self.both += u32::from(self.done.contains(index));
+        }
+    }
+
+    /// A task can't be on that machine any more.
+    pub fn lift(&mut self, index: u32, machine: &MachineId) {
+        if self.live.get(&index) == Some(machine) {
+            self.live.remove(&index);
+            self.both -= u32::from(self.done.contains(index));
+        }
     }
 
     /// The next waiting task.
     pub fn next_waiting(&mut self) -> Option<u32> {
-        while self.cursor < self.spec.tasks && self.done.contains(self.cursor) {
-            self.cursor += 1;
-        }
-        (self.cursor..self.spec.tasks)
-            .find(|n| !self.done.contains(*n) && !self.live.contains_key(n))
+        // What was released lies before the cursor only if it was lifted since.
+        let free = |n: &u32| !self.done.contains(*n) && !self.live.contains_key(n);
+        let next = (self.cursor..self.spec.tasks)
+            .find(free)
+            .or_else(|| (0..self.cursor.min(self.spec.tasks)).find(free));
+        self.cursor = next.unwrap_or(0);
+        next
     }
 
     pub fn all_done(&self) -> bool {
@@ -176,11 +211,11 @@
     /// snapshot any more. Launches not yet sent are taken back as the shard
     /// settles.
     fn close_attempts_of(&mut self, id: &JobId) {
-        for machine in self.machines.values_mut() {
-            for ((task, _), attempt) in &mut machine.attempts {
-                if task.job != *id {
-                    continue;
-                }
+        for machine in self.machines.ids(|m| m.attempts_of(id).next().is_some()) {
+            let Some(machine) = self.machines.get_mut(&machine) else {
+                continue;
+            };
+            for attempt in machine.attempts_of_mut(id) {
                 if attempt.ended() {
                     attempt.clearable = true;
                 } else {
@@ -199,11 +234,16 @@
             return;
         };
         let spec = Arc::new(record.spec);
-        for machine in self.machines.values_mut() {
-            for ((task, _), attempt) in &mut machine.attempts {
-                if &*task.job == id && attempt.spec.is_none() {
-                    attempt.spec = Some(spec.clone());
-                }
+        let id: JobId = id.into();
+        for machine in self
+            .machines
+            .ids(|m| m.attempts_of(&id).any(|(_, a)| a.spec.is_none()))
+        {
+            let Some(machine) = self.machines.get_mut(&machine) else {
+                continue;
+            };
+            for attempt in machine.attempts_of_mut(&id) {
+                attempt.spec.get_or_insert_with(|| spec.clone());
             }
         }
         self.restless = true;
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::Tally;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Ending;
@@ -120,12 +121,28 @@
         self.mem_gb -= spec.mem_gb;
     }
 
+    pub fn give_many(&mut self, spec: &JobSpec, tasks: u32) {
+        let tasks = f64::from(tasks);
+        self.cores += spec.cores * tasks;
+        self.accelerators += spec.accelerators * tasks;
+        self.mem_gb += spec.mem_gb * tasks;
+    }
+
     pub fn give(&mut self, spec: &JobSpec) {
         self.cores += spec.cores;
         self.accelerators += spec.accelerators;
         self.mem_gb += spec.mem_gb;
     }
 
+    /// What is left when so much is taken.
+    pub fn less(&self, taken: &Self) -> Self {
+        Self {
+            cores: self.cores - taken.cores,
+            accelerators: self.accelerators - taken.accelerators,
+            mem_gb: self.mem_gb - taken.mem_gb,
+        }
+    }
+
     /// How many tasks of a job fit.
     pub fn fits(&self, spec: &JobSpec) -> u32 {
         const SLACK: f64 = 1e-9;
@@ -148,8 +165,8 @@
 pub struct Machine {
     pub id: MachineId,
     pub addr: String,
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub session: Option<u64>,
     pub seq: u64,
@@ -167,6 +184,8 @@
     /// When the cloud takes it away, as far as was said.
     pub notice: Option<Instant>,
     pub attempts: BTreeMap<(TaskId, u64), Attempt>,
+    /// What they amount to, as last counted.
+    pub tally: Tally,
     /// Images it holds or fetches, most recently used last.
     pub images: Vec<String>,
     /// When its rental was asked for, as far as is known.
@@ -200,8 +219,8 @@
         Self {
             id,
             addr: String::new(),
-            machine_type: String::new(),
-            zone: String::new(),
+            machine_type: "".into(),
+            zone: "".into(),
             spot: false,
             session: None,
             seq: 0,
@@ -213,6 +232,7 @@
             lease_over,
             notice: None,
             attempts: BTreeMap::new(),
+            tally: Tally::default(),
             images: Vec::new(),
             rented: now,
             idle_since: None,
@@ -230,6 +250,20 @@
         }
     }
 
+    /// What a report, the list or the roster says of it.
+    pub fn describe(&mut self, addr: &str, machine_type: &str, zone: &str, spot: bool) {
+        if self.addr != addr {
+            addr.clone_into(&mut self.addr);
+        }
+        if *self.machine_type != *machine_type {
+            self.machine_type = machine_type.into();
+        }
+        if *self.zone != *zone {
+            self.zone = zone.into();
+        }
+        self.spot = spot;
+    }
+
     /// Whether its worker has ever been expected to report to us.
     pub fn should_report(&self) -> bool {
         !self.deleting && (self.heard.is_some() || self.admitted)
@@ -255,34 +289,27 @@
             && self.notice.is_none()
             && !self.vanished
             && self.silence(now) < suspect
-            && self
-                .attempts
-                .values()
-                .all(|a| a.ended() || a.spec.is_some())
+            && self.tally.unknown == 0
     }
 
-    /// The attempt of a task that may exist and has not ended.
-    pub fn live_attempt(&self, job: &JobId, index: u32) -> Option<&Attempt> {
-        let from = TaskId {
-            job: job.clone(),
-            index,
-        };
+    /// All attempts of one job.
+    pub fn attempts_of(&self, job: &JobId) -> impl Iterator<Item = (&(TaskId, u64), &Attempt)> {
+        self.attempts.range(range_of(job))
+    }
+
+    /// All attempts of one job, to change.
+    pub fn attempts_of_mut(&mut self, job: &JobId) -> impl Iterator<Item = &mut Attempt> {
         self.attempts
-            .range((from.clone(), 0)..=(from, u64::MAX))
+            .range_mut(range_of(job))
             .map(|(_, attempt)| attempt)
-            .find(|attempt| !attempt.ended())
     }
 
     /// What is left beside all that may be in use on it.
     pub fn free(&self, kind: &MachineType) -> Amounts {
-        let mut free = Amounts::of_type(kind);
-        for attempt in self.attempts.values().filter(|a| !a.ended()) {
-            match &attempt.spec {
-                Some(spec) => free.take(spec),
-                None => return Amounts::default(),
-            }
+        if self.tally.unknown > 0 {
+            return Amounts::default();
         }
-        free
+        Amounts::of_type(kind).less(&self.tally.used)
     }
 
     pub fn busy(&self) -> bool {
@@ -302,3 +329,12 @@
         self.images.iter().any(|held| held == image)
     }
 }
+
+/// Where a job's attempts stand among a machine's.
+fn range_of(job: &JobId) -> std::ops::RangeInclusive<(TaskId, u64)> {
+    let at = |index, take| {
+        let job = job.clone();
+        (TaskId { job, index }, take)
+    };
+    at(0, 0)..=at(u32::MAX, u64::MAX)
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -3,6 +3,7 @@
 //! Events come in through the methods of [`Shard`]; what has to be done
 //! outside comes out as [`Action`]s. Nothing here waits or talks.
 
+mod book;
 mod cluster;
 mod commands;
 mod drain;
@@ -16,6 +17,7 @@
 mod slowness;
 mod writes;
 
+pub use book::{Machines, Tally};
 pub use cluster::{Loaded, LoadedMachine};
 pub use fleet::RentalOutcome;
 pub use jobs::Job;
@@ -81,6 +83,10 @@
     pub accelerators_max: f64,
 }
 
+/// Share of the state service's writes that the shard's own facts (roster,
+/// rentals) may use; jobs' facts need the rest.
+const FACT_WRITE_SHARE: f64 = 0.3;
+
 /// What the shard's decisions depend on besides its state.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -97,6 +103,7 @@
     pub snapshot: Duration,
     pub staleness: Duration,
     pub snapshot_writes_per_s: f64,
+    pub fact_writes_per_s: f64,
     pub suspect: Duration,
     pub abandon: Duration,
     pub headroom: f64,
@@ -133,8 +140,9 @@
             snapshot: operator.snapshot(),
             staleness: operator.staleness(),
             snapshot_writes_per_s: given.state.write_rps * operator.snapshot_write_share,
-            suspect: operator.suspect(),
-            abandon: operator.abandon(),
+            fact_writes_per_s: given.state.write_rps * FACT_WRITE_SHARE,
+            suspect: given.workers.latest_report() + operator.suspect_late(),
+            abandon: given.workers.latest_report() + operator.abandon_late(),
             headroom: operator.headroom,
             idle: operator.idle(),
             refused: operator.refused(),
@@ -165,6 +173,10 @@
         .collect()
 }
 
+/// Pause between two counts of what runs, for display and for comparing
+/// machines.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
 /// One shard as its owner sees it.
 pub struct Shard {
     pub policy: Policy,
@@ -175,7 +187,7 @@
     acquired_wall_ms: u64,
     types: HashMap<String, Arc<MachineType>>,
     jobs: BTreeMap<JobId, Job>,
-    machines: BTreeMap<MachineId, Machine>,
+    machines: Machines,
     /// Machines that were deleted, and when.
     gone: HashMap<MachineId, Instant>,
     /// Machines of the roster that we loaded which may hold tasks that we
@@ -190,6 +202,9 @@
     pub main_zone: Option<String>,
     /// Something changed that may allow or need new decisions.
     restless: bool,
+    /// Running tasks by job, as last counted, and when that was.
+    running: HashMap<JobId, u32>,
+    counted: Option<Instant>,
     out: Vec<Action>,
 }
 
@@ -201,8 +216,14 @@
 
     /// Periodic work: leases, snapshots, fleet. Every fraction of a second.
     pub fn tick(&mut self, now: Instant) {
+        self.machines.refresh();
         self.expire_leases(now);
-        self.find_slow_machines(now);
+        let due = |at: Instant| now.saturating_duration_since(at) >= COUNT_EVERY;
+        if self.counted.is_none_or(due) {
+            self.counted = Some(now);
+            self.count_running();
+            self.find_slow_machines(now);
+        }
         self.probe_unsynced(now);
         self.manage_fleet(now);
         self.restless = true;
@@ -235,25 +256,52 @@
         self.restless = true;
     }
 
+    /// Counts the running tasks of each job, for display.
+    fn count_running(&mut self) {
+        self.running.clear();
+        for machine in self.machines.values() {
+            for ((task, _), attempt) in &machine.attempts {
+                if attempt.phase != Phase::Running {
+                    continue;
+                }
+                match self.running.get_mut(&task.job) {
+                    Some(count) => *count += 1,
+                    None => {
+                        self.running.insert(task.job.clone(), 1);
+                    }
+                }
+            }
+        }
+    }
+
+    /// All unfinished jobs with their tasks done and running.
+    pub fn progress(&self) -> impl Iterator<Item = (&JobId, u32, u32)> {
+        self.jobs
+            .values()
+            .filter(|job| job.over.is_none())
+            .map(|job| {
+                let running = self.running.get(&job.id).copied().unwrap_or(0);
+                (&job.id, job.done().len(), running)
+            })
+    }
+
     /// A job's state for its user: stage, tasks done, tasks running.
     pub fn view(&self, id: &str) -> Option<(Stage, u32, u32)> {
         let job = self.jobs.get(id).filter(|job| job.over.is_none())?;
-        let running = job
-            .live
-            .iter()
-            .filter(|(index, machine)| {
-                self.machines
-                    .get(*machine)
-                    .and_then(|m| m.live_attempt(&job.id, **index))
-                    .is_some_and(|attempt| attempt.phase == Phase::Running)
+        let runs = |(index, machine): &(&u32, &MachineId)| {
+            self.machines.get(machine).is_some_and(|machine| {
+                machine.attempts_of(&job.id).any(|((task, _), attempt)| {
+                    task.index == **index && attempt.phase == Phase::Running
+                })
             })
-            .count() as u32;
+        };
+        let running = job.live().iter().filter(runs).count() as u32;
         let stage = if running > 0 {
             Stage::Running
         } else {
             Stage::Pending
         };
-        Some((stage, job.done.len(), running))
+        Some((stage, job.done().len(), running))
     }
 
     /// Machines heard within the time of a report or two, and all that should
@@ -288,13 +336,13 @@
         for machine in self.machines.values().filter(|m| m.spot == spot) {
             total += self
                 .types
-                .get(&machine.machine_type)
+                .get(&*machine.machine_type)
                 .map_or(0.0, |kind| kind.cores);
-            for attempt in machine.attempts.values().filter(|a| !a.ended()) {
-                match &attempt.spec {
-                    Some(spec) if spec.kind == JobKind::Standing => services += spec.cores,
-                    Some(spec) => batch += spec.cores,
-                    None => {}
+            for (spec, count) in &machine.tally.tasks {
+                let cores = spec.cores * f64::from(*count);
+                match spec.kind {
+                    JobKind::Standing => services += cores,
+                    JobKind::Batch => batch += cores,
                 }
             }
         }
@@ -308,7 +356,7 @@
         for job in self.jobs.values() {
             let entry = queues.entry(&job.spec.team).or_default();
             entry.0 += job.waiting();
-            entry.1 += job.live.len();
+            entry.1 += job.live().len();
         }
         for (team, (waiting, live)) in queues {
             text.push_str(&format!(
@@ -336,8 +384,13 @@
         text
     }
 
+    /// Whether something changed since decisions were last made.
+    pub fn restless(&self) -> bool {
+        self.restless
+    }
+
     /// The machines, for tests and the status page.
-    pub fn machines(&self) -> &BTreeMap<MachineId, Machine> {
+    pub fn machines(&self) -> &Machines {
         &self.machines
     }
 
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Instant;
 
 use super::machines::Amounts;
@@ -21,8 +22,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Slot {
     pub id: MachineId,
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     /// Kept for batch work alone, at the full price.
     pub costly: bool,
@@ -57,8 +58,49 @@
         self.teams.get(team).copied().unwrap_or_default()
     }
 
-    pub fn add(&mut self, spec: &JobSpec) {
-        self.teams.entry(spec.team.clone()).or_default().give(spec);
+    pub fn add(&mut self, spec: &JobSpec, tasks: u32) {
+        if !self.teams.contains_key(&spec.team) {
+            self.teams.insert(spec.team.clone(), Amounts::default());
+        }
+        if let Some(used) = self.teams.get_mut(&spec.team) {
+            used.give_many(spec, tasks);
+        }
+    }
+}
+
+/// What a machine has of an image.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Holding {
+    Nothing,
+    /// It fetches it, or is about to.
+    Coming,
+    There,
+}
+
+/// One placement pass: the open machines, and what is known of them so far.
+pub(super) struct Pass {
+    pub slots: Vec<Slot>,
+    pub usage: Usage,
+    /// By image, what each slot's machine has of it.
+    images: HashMap<String, Vec<Holding>>,
+}
+
+impl Pass {
+    fn holding(&self, spec: &JobSpec, at: usize) -> Holding {
+        self.images
+            .get(&spec.image)
+            .and_then(|holdings| holdings.get(at))
+            .copied()
+            .unwrap_or(Holding::Nothing)
+    }
+
+    /// A task was placed on a slot.
+    fn take(&mut self, spec: &JobSpec, at: usize) {
+        self.slots[at].free.take(spec);
+        self.usage.add(spec, 1);
+        if let Some(holdings) = self.images.get_mut(&spec.image) {
+            holdings[at] = holdings[at].max(Holding::Coming);
+        }
     }
 }
 
@@ -76,23 +118,17 @@
     pub(super) fn usage(&self) -> Usage {
         let mut usage = Usage::default();
         for machine in self.machines.values() {
-            let full = self
-                .types
-                .get(&machine.machine_type)
-                .map(|kind| Amounts::of_type(kind))
-                .unwrap_or_default();
-            if self.unresolved.contains(&machine.id) {
-                usage.unknown.cores += full.cores;
-                usage.unknown.accelerators += full.accelerators;
-                continue;
+            let unresolved = self.unresolved.contains(&machine.id);
+            let unknown = if unresolved { 1 } else { machine.tally.unknown };
+            if unknown > 0
+                && let Some(kind) = self.types.get(&*machine.machine_type)
+            {
+                usage.unknown.cores += kind.cores * f64::from(unknown);
+                usage.unknown.accelerators += kind.accelerators * f64::from(unknown);
             }
-            for attempt in machine.attempts.values().filter(|a| !a.ended()) {
-                match &attempt.spec {
-                    Some(spec) => usage.add(spec),
-                    None => {
-                        usage.unknown.cores += full.cores;
-                        usage.unknown.accelerators += full.accelerators;
-                    }
+            if !unresolved {
+                for (spec, count) in &machine.tally.tasks {
+                    usage.add(spec, *count);
                 }
             }
         }
@@ -147,19 +183,20 @@
         self.unresolved.is_empty() || job.mark > self.term
     }
 
-    pub(super) fn open_slots(&self, now: Instant) -> Vec<Slot> {
+    fn open_slots(&self, now: Instant) -> Vec<Slot> {
         let reserved = self.reserved_for_moves();
+        let pressed = self.fleet.under_pressure(now);
         self.machines
             .values()
             .filter(|m| m.open(now, self.policy.suspect))
             .filter_map(|m| {
-                let kind = self.types.get(&m.machine_type)?;
+                let kind = self.types.get(&*m.machine_type)?;
                 Some(Slot {
                     id: m.id.clone(),
                     machine_type: m.machine_type.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
-                    costly: self.costly(m, now) && !self.fleet.under_pressure(now),
+                    costly: !pressed && self.costly(m, now),
                     free: m.free(kind),
                     reserved: reserved.get(&m.id).copied().unwrap_or_default(),
                 })
@@ -189,8 +226,12 @@
         if levels.is_empty() {
             return;
         }
-        let mut usage = self.usage();
-        let mut slots = self.open_slots(now);
+        self.machines.refresh();
+        let mut pass = Pass {
+            slots: self.open_slots(now),
+            usage: self.usage(),
+            images: HashMap::new(),
+        };
         let mut stuck = Vec::new();
         let wall = self.wall_ms(now);
         for (_, teams) in levels {
@@ -201,7 +242,7 @@
                     (team, ids.into())
                 })
                 .collect();
-            while let Some(team) = self.next_team(&queues, &usage) {
+            while let Some(team) = self.next_team(&queues, &pass.usage) {
                 let Some(queue) = queues.get_mut(&team) else {
                     break;
                 };
@@ -209,7 +250,7 @@
                     queues.remove(&team);
                     continue;
                 };
-                let placed = self.place_some(&id, &mut usage, &mut slots, now);
+                let placed = self.place_some(&id, &mut pass, now);
                 let left = self.jobs.get(&id).map_or(0, Job::waiting);
                 if placed == 0 || left == 0 {
                     queue.pop_front();
@@ -219,7 +260,7 @@
                 }
             }
         }
-        self.preempt(&stuck, &usage, &slots, now);
+        self.preempt(&stuck, &pass, now);
     }
 
     /// Jobs that can still be in time go before those that are late already.
@@ -251,59 +292,70 @@
     }
 
     /// Places up to a block of a job's tasks; returns how many.
-    fn place_some(
-        &mut self,
-        id: &JobId,
-        usage: &mut Usage,
-        slots: &mut [Slot],
-        now: Instant,
-    ) -> usize {
+    fn place_some(&mut self, id: &JobId, pass: &mut Pass, now: Instant) -> usize {
         let mut placed = 0;
         while placed < BLOCK {
             let Some(job) = self.jobs.get(id) else {
                 break;
             };
             let spec = job.spec.clone();
-            if job.waiting() == 0 || !self.within_limit(usage, &spec) {
+            if job.waiting() == 0 || !self.within_limit(&pass.usage, &spec) {
                 break;
             }
-            let seed = self.seed(job, slots);
-            let Some(at) = seed.or_else(|| self.choose(job, slots)) else {
+            self.look_for_image(&spec.image, pass);
+            let seed = self.seed(job, pass);
+            let Some(at) = seed.or_else(|| self.choose(job, pass)) else {
                 break;
             };
-            let machine = slots[at].id.clone();
             let Some(index) = self.jobs.get_mut(id).and_then(Job::next_waiting) else {
                 break;
             };
-            slots[at].free.take(&spec);
-            usage.add(&spec);
+            pass.take(&spec, at);
+            let machine = pass.slots[at].id.clone();
             self.launch(id, index, &machine, now);
             placed += 1;
         }
         placed
     }
 
+    /// Looks once a pass which machines hold or fetch an image.
+    fn look_for_image(&self, image: &str, pass: &mut Pass) {
+        if pass.images.contains_key(image) {
+            return;
+        }
+        let holdings = pass
+            .slots
+            .iter()
+            .map(|slot| match self.machines.get(&slot.id) {
+                Some(machine) if machine.has_image(image) => Holding::There,
+                Some(machine) if fetches_image(machine, image) => Holding::Coming,
+                _ => Holding::Nothing,
+            })
+            .collect();
+        pass.images.insert(image.to_owned(), holdings);
+    }
+
     /// Where to bring an image to: the first task of a job with many goes to a
     /// machine that lacks the image, so that later work finds it there. It costs
     /// a small share of one job its quick start.
-    fn seed(&self, job: &Job, slots: &[Slot]) -> Option<usize> {
+    fn seed(&self, job: &Job, pass: &Pass) -> Option<usize> {
         let spec = &job.spec;
         let simple = spec.kind == JobKind::Batch && !spec.one_zone && !spec.scatter;
         if !self.policy.holds_capacity()
             || !simple
             || spec.tasks < SEED_FROM
-            || !job.live.is_empty()
-            || !job.done.is_empty()
+            || !job.live().is_empty()
+            || !job.done().is_empty()
         {
             return None;
         }
-        slots
+        pass.slots
             .iter()
             .enumerate()
-            .filter(|(_, slot)| {
+            .filter(|(at, slot)| {
                 allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                     && slot.fits(spec)
-                    && !self.slot_holds(spec, slot, true)
+                    && pass.holding(spec, *at) == Holding::Nothing
             })
             .max_by(|(_, a), (_, b)| a.free.cores.total_cmp(&b.free.cores))
             .map(|(at, _)| at)
@@ -311,100 +363,92 @@
 
     /// Our companion: a fitting machine that holds the image, else the
     /// roomiest fitting one.
-    fn choose(&self, job: &Job, slots: &[Slot]) -> Option<usize> {
+    fn choose(&self, job: &Job, pass: &Pass) -> Option<usize> {
         let spec = &job.spec;
         let zones = self.live_zones(job);
         let one_zone = if spec.one_zone && zones.is_empty() {
-            Some(self.best_zone(spec, slots)?)
+            Some(self.best_zone(spec, &pass.slots)?)
         } else if spec.one_zone {
             zones.keys().next().cloned()
         } else {
             None
         };
         let per_zone = spec.tasks.div_ceil(2);
-        let avoid = job.failed_on.len() < slots.len();
+        let avoid = !job.failed_on.is_empty() && job.failed_on.len() < pass.slots.len();
         // Where capacity is held for guarantees anyway, work is spread, so that
         // losing a machine stops little and images are held in many places;
         // elsewhere it is packed, so that machines can be given back.
         let spread = self.policy.holds_capacity();
+        let enough = if spread {
+            Holding::There
+        } else {
+            Holding::Coming
+        };
         // Services stay where a controller hears them through a cut.
-        let far = |slot: &Slot| {
-            spec.kind == JobKind::Standing
-                && self
-                    .main_zone
-                    .as_ref()
-                    .is_some_and(|zone| *zone != slot.zone)
+        let near = match spec.kind {
+            JobKind::Standing => self.main_zone.as_deref(),
+            JobKind::Batch => None,
         };
-        slots
-            .iter()
-            .enumerate()
-            .filter(|(_, slot)| {
-                allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-                    && slot.fits(spec)
-                    && self.worth_it(job, slot)
-                    && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
-                    && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
-                    && !(avoid && job.failed_on.contains(&slot.id))
-            })
-            .min_by(|(_, a), (_, b)| {
-                let lacks = |slot: &Slot| !self.slot_holds(spec, slot, !spread);
-                let (lacks_a, lacks_b) = (lacks(a), lacks(b));
-                let late = |slot: &Slot, lacks: bool| lacks && self.fetch_is_late(spec, slot);
-                let (late_a, late_b) = (late(a, lacks_a), late(b, lacks_b));
-                let room = if lacks_a || spread {
-                    b.free.cores.total_cmp(&a.free.cores)
+        let mut best: Option<(Rank, usize)> = None;
+        for (at, slot) in pass.slots.iter().enumerate() {
+            let fits = slot.fits(spec)
+                && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                && self.worth_it(job, slot)
+                && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
+                && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
+                && !(avoid && job.failed_on.contains(&slot.id));
+            if !fits {
+                continue;
+            }
+            let lacks = pass.holding(spec, at) < enough;
+            let rank = Rank {
+                flags: [
+                    lacks,
+                    lacks && self.fetch_is_late(spec, slot),
+                    near.is_some_and(|zone| *zone != *slot.zone),
+                    slot.costly,
+                    !slot.spot,
+                ],
+                room: if lacks || spread {
+                    -slot.free.cores
                 } else {
-                    a.free.cores.total_cmp(&b.free.cores)
-                };
-                lacks_a
-                    .cmp(&lacks_b)
-                    .then(late_a.cmp(&late_b))
-                    .then(far(a).cmp(&far(b)))
-                    .then(a.costly.cmp(&b.costly))
-                    .then(b.spot.cmp(&a.spot))
-                    .then(room)
-                    .then(a.id.cmp(&b.id))
-            })
-            .map(|(at, _)| at)
-            .filter(|at| !self.better_to_make_room(job, &slots[*at], slots))
+                    slot.free.cores
+                },
+            };
+            if best.as_ref().is_none_or(|(least, _)| rank.before(least)) {
+                best = Some((rank, at));
+            }
+        }
+        best.map(|(_, at)| at)
+            .filter(|at| !self.better_to_make_room(job, *at, pass))
     }
 
     /// Whether a service would fetch its image for too long there, while it
     /// could have the place of lesser work beside an image.
-    fn better_to_make_room(&self, job: &Job, slot: &Slot, slots: &[Slot]) -> bool {
+    fn better_to_make_room(&self, job: &Job, at: usize, pass: &Pass) -> bool {
         let spec = &job.spec;
         let lesser = |machine: &Machine| {
-            machine.attempts.values().any(|attempt| {
-                !attempt.ended()
-                    && attempt.spec.as_ref().is_some_and(|lesser| {
-                        lesser.priority < spec.priority
-                            && lesser.cores >= spec.cores
-                            && lesser.mem_gb >= spec.mem_gb
-                    })
+            machine.tally.tasks.iter().any(|(lesser, _)| {
+                lesser.priority < spec.priority
+                    && lesser.cores >= spec.cores
+                    && lesser.mem_gb >= spec.mem_gb
             })
         };
         // Jobs whose tasks depend on one another's zones take what there is.
         let free_of_zones = !spec.one_zone && (!spec.scatter || spec.tasks == 1);
         spec.kind == JobKind::Standing
             && free_of_zones
-            && self.slot_is_late(spec, slot)
-            && slots.iter().any(|other| {
-                allowed(spec, &other.machine_type, &other.zone, other.spot)
-                    && !self.slot_is_late(spec, other)
-                    && self.machines.get(&other.id).is_some_and(lesser)
+            && self.slot_is_late(spec, pass, at)
+            && pass.slots.iter().enumerate().any(|(other, slot)| {
+                allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && !self.slot_is_late(spec, pass, other)
+                    && self.machines.get(&slot.id).is_some_and(lesser)
             })
     }
 
-    /// Whether a machine holds a job's image; `or_fetches`: or is about to.
-    fn slot_holds(&self, spec: &JobSpec, slot: &Slot, or_fetches: bool) -> bool {
-        self.machines.get(&slot.id).is_some_and(|machine| {
-            machine.has_image(&spec.image) || (or_fetches && fetches_image(machine, &spec.image))
-        })
-    }
-
     /// Whether a job would start too late there for want of its image.
-    pub(super) fn slot_is_late(&self, spec: &JobSpec, slot: &Slot) -> bool {
-        !self.slot_holds(spec, slot, false) && self.fetch_is_late(spec, slot)
+    pub(super) fn slot_is_late(&self, spec: &JobSpec, pass: &Pass, at: usize) -> bool {
+        pass.holding(spec, at) < Holding::There && self.fetch_is_late(spec, &pass.slots[at])
     }
 
     /// Whether fetching a job's image there takes longer than a good wait.
@@ -412,7 +456,7 @@
         let within = self.policy.wait_within.get(&spec.class);
         let rate = self
             .types
-            .get(&slot.machine_type)
+            .get(&*slot.machine_type)
             .map(|kind| kind.fetch_gb_per_s);
         match (within, rate) {
             (Some(within), Some(rate)) if rate > 0.0 => {
@@ -428,10 +472,10 @@
     }
 
     /// How many tasks of a job may exist in each zone.
-    pub(super) fn live_zones(&self, job: &Job) -> BTreeMap<String, u32> {
+    pub(super) fn live_zones(&self, job: &Job) -> BTreeMap<Arc<str>, u32> {
         let mut zones = BTreeMap::new();
         if job.spec.one_zone || job.spec.scatter {
-            for machine in job.live.values().filter_map(|id| self.machines.get(id)) {
+            for machine in job.live().values().filter_map(|id| self.machines.get(id)) {
                 *zones.entry(machine.zone.clone()).or_insert(0) += 1;
             }
         }
@@ -439,8 +483,8 @@
     }
 
     /// The zone with room for most of a job's tasks.
-    fn best_zone(&self, spec: &JobSpec, slots: &[Slot]) -> Option<String> {
-        let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+    fn best_zone(&self, spec: &JobSpec, slots: &[Slot]) -> Option<Arc<str>> {
+        let mut room: BTreeMap<&Arc<str>, u32> = BTreeMap::new();
         for slot in slots {
             if allowed(spec, &slot.machine_type, &slot.zone, slot.spot) {
                 *room.entry(&slot.zone).or_default() += slot.free.fits(spec);
@@ -449,7 +493,7 @@
         room.into_iter()
             .filter(|(_, n)| *n > 0)
             .max_by_key(|(_, n)| *n)
-            .map(|(zone, _)| zone.to_owned())
+            .map(|(zone, _)| zone.clone())
     }
 
     fn launch(&mut self, id: &JobId, index: u32, machine_id: &MachineId, now: Instant) {
@@ -458,7 +502,7 @@
         else {
             return;
         };
-        job.live.insert(index, machine_id.clone());
+        job.put(index, machine_id);
         machine.idle_since = None;
         let task = TaskId {
             job: id.clone(),
@@ -473,10 +517,27 @@
     }
 }
 
+/// How good a slot is; what comes first is better.
+struct Rank {
+    /// What speaks against it, weightiest first.
+    flags: [bool; 5],
+    room: f64,
+}
+
+impl Rank {
+    fn before(&self, other: &Self) -> bool {
+        self.flags
+            .cmp(&other.flags)
+            .then(self.room.total_cmp(&other.room))
+            .is_lt()
+    }
+}
+
 /// Whether a machine fetches an image, or is about to.
 fn fetches_image(machine: &Machine, image: &str) -> bool {
     machine
-        .attempts
-        .values()
-        .any(|a| !a.ended() && a.spec.as_ref().is_some_and(|spec| spec.image == image))
+        .tally
+        .tasks
+        .iter()
+        .any(|(spec, _)| spec.image == image)
 }
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -39,8 +39,8 @@
 /// Room that is there or will be, for the plan.
 pub(super) struct Bin {
     pub machine: Option<MachineId>,
-    pub machine_type: String,
-    pub zone: String,
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub free: Amounts,
     /// Batch tasks on it, lowest priority first.
@@ -56,10 +56,13 @@
     /// Counts what gives way as free, as far as some tasks of a job need it.
     fn make_room(&mut self, spec: &JobSpec, tasks: u32) {
         while self.free.fits(spec) < tasks {
-            match self.yielding.first() {
-                Some(lowest) if lowest.priority < spec.priority => {
-                    let lowest = self.yielding.remove(0);
+            match self.yielding.first_mut() {
+                Some(lowest) if lowest.spec.priority < spec.priority => {
                     self.free.give(&lowest.spec);
+                    lowest.count -= 1;
+                    if lowest.count == 0 {
+                        self.yielding.remove(0);
+                    }
                 }
                 _ => break,
             }
@@ -89,10 +92,10 @@
     SpotOnly,
 }
 
-/// What runs on a bin and gives way to higher priorities.
+/// Tasks of one job that run on a bin and give way to higher priorities.
 struct Yielding {
-    priority: Priority,
     spec: Arc<JobSpec>,
+    count: u32,
 }
 
 /// Something that can be rented.
@@ -112,6 +115,12 @@
         let demands = self.demands(&bins, now);
         let pressed = self.fleet.under_pressure(now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        // How many machines of a type are in a zone already.
+        let mut crowds: HashMap<(&str, &str), f64> = HashMap::new();
+        for machine in self.machines.values() {
+            let there = crowds.entry((&*machine.machine_type, &*machine.zone));
+            *there.or_default() += 1.0;
+        }
         // A new machine is shared with the jobs of the class that follow.
         let mut class_left: HashMap<String, u32> = HashMap::new();
         for demand in &demands {
@@ -123,7 +132,7 @@
             let companions = *companions;
             let mut left = demand.count;
             let spread = demand.spec.tasks.div_ceil(2);
-            let mut per_zone: HashMap<String, u32> = HashMap::new();
+            let mut per_zone: HashMap<Arc<str>, u32> = HashMap::new();
             for bin in &mut bins {
                 if left == 0 {
                     break;
@@ -147,7 +156,7 @@
                 left -= n;
             }
             while left > 0 {
-                let Some(offer) = self.best_offer(&demand, left + companions, now) else {
+                let Some(offer) = self.best_offer(&demand, left + companions, &crowds, now) else {
                     break;
                 };
                 let mut free = Amounts::of_type(&offer.kind);
@@ -172,8 +181,8 @@
                 *wanted.entry(key).or_default() += 1;
                 bins.push(Bin {
                     machine: None,
-                    machine_type: offer.kind.name.clone(),
-                    zone: offer.zone.clone(),
+                    machine_type: offer.kind.name.as_str().into(),
+                    zone: offer.zone.as_str().into(),
                     spot: offer.spot,
                     free,
                     yielding: Vec::new(),
@@ -200,7 +209,7 @@
     fn bins(&self, now: Instant) -> Vec<Bin> {
         let mut bins = Vec::new();
         for machine in self.machines.values() {
-            let Some(kind) = self.types.get(&machine.machine_type) else {
+            let Some(kind) = self.types.get(&*machine.machine_type) else {
                 continue;
             };
             let doomed = machine.deleting
@@ -242,8 +251,8 @@
                 for _ in 0..rental.count {
                     bins.push(Bin {
                         machine: None,
-                        machine_type: rental.machine_type.clone(),
-                        zone: rental.zone.clone(),
+                        machine_type: rental.machine_type.as_str().into(),
+                        zone: rental.zone.as_str().into(),
                         spot: rental.spot,
                         free: Amounts::of_type(kind),
                         yielding: Vec::new(),
@@ -287,7 +296,7 @@
             let waiting = job.waiting().min(MOST_FORESEEN);
             let mut count = 0;
             while count < waiting && self.within_limit(&usage, &job.spec) {
-                usage.add(&job.spec);
+                usage.add(&job.spec, 1);
                 count += 1;
             }
             if job.spec.kind == JobKind::Batch {
@@ -425,7 +434,7 @@
                 .jobs
                 .values()
                 .filter(|job| job.spec.class == *class)
-                .map(|job| job.live.len())
+                .map(|job| job.live().len())
                 .sum::<usize>() as f64;
             let count = (expected + expected.sqrt()).max(running * self.policy.headroom);
             demands.push(Demand {
@@ -471,7 +480,13 @@
         }
     }
 
-    fn best_offer(&self, demand: &Demand, left: u32, now: Instant) -> Option<Offer> {
+    fn best_offer(
+        &self,
+        demand: &Demand,
+        left: u32,
+        crowds: &HashMap<(&str, &str), f64>,
+        now: Instant,
+    ) -> Option<Offer> {
         let spec = &demand.spec;
         let mut best: Option<(f64, Offer)> = None;
         for kind in self.types.values() {
@@ -526,12 +541,8 @@
                         cost *= 1.0 + late / LATE_DOUBLES_S;
                     }
                     // Equal offers are spread over the zones.
-                    let crowd = self
-                        .machines
-                        .values()
-                        .filter(|m| m.zone == *zone && m.machine_type == kind.name)
-                        .count() as f64;
-                    cost *= 1.0 + crowd * 1e-4;
+                    let there = crowds.get(&(kind.name.as_str(), zone.as_str()));
+                    cost *= 1.0 + there.copied().unwrap_or(0.0) * 1e-4;
                     if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                         let offer = Offer {
                             kind: kind.clone(),
@@ -557,8 +568,8 @@
             let running: f64 = bin
                 .yielding
                 .iter()
-                .filter(|task| task.priority <= spec.priority)
-                .map(|task| task.spec.cores)
+                .filter(|tasks| tasks.spec.priority <= spec.priority)
+                .map(|tasks| tasks.spec.cores * f64::from(tasks.count))
                 .sum();
             bin.free.cores.max(0.0) + running
         })
@@ -568,17 +579,16 @@
 /// The batch tasks on a machine, lowest priority first.
 fn yielding(machine: &Machine) -> Vec<Yielding> {
     let mut tasks: Vec<Yielding> = machine
-        .attempts
-        .values()
-        .filter(|attempt| !attempt.ended() && attempt.stop.is_none())
-        .filter_map(|attempt| attempt.spec.clone())
-        .filter(|spec| spec.kind == JobKind::Batch)
-        .map(|spec| Yielding {
-            priority: spec.priority,
-            spec,
+        .tally
+        .tasks
+        .iter()
+        .filter(|(spec, _)| spec.kind == JobKind::Batch)
+        .map(|(spec, count)| Yielding {
+            spec: spec.clone(),
+            count: *count,
         })
         .collect();
-    tasks.sort_by_key(|task| task.priority);
+    tasks.sort_by_key(|tasks| tasks.spec.priority);
     tasks
 }
 
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::placement::{Slot, Usage, allowed};
-use super::{Attempt, Job, Shard};
+use super::placement::{Pass, Usage, allowed};
+use super::{Attempt, Job, Machine, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
@@ -20,8 +20,8 @@
 impl Shard {
     /// Stops what may be stopped for jobs that found no room, the cheapest
     /// lost work first. The room is given out by later passes, in order.
-    pub(super) fn preempt(&mut self, stuck: &[JobId], usage: &Usage, slots: &[Slot], now: Instant) {
-        let mut usage = usage.clone();
+    pub(super) fn preempt(&mut self, stuck: &[JobId], pass: &Pass, now: Instant) {
+        let mut usage = pass.usage.clone();
         for id in stuck.iter().take(MOST_JOBS) {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -36,12 +36,12 @@
             }
             let guaranteed = self.within_guarantee(&usage, &spec);
             if let Some((machine, victims)) =
-                self.cheapest_victims(job, guaranteed, &usage, slots, now)
+                self.cheapest_victims(job, guaranteed, &usage, pass, now)
             {
                 for key in victims {
                     self.stop_for_room(&machine, &key, &spec);
                 }
-                usage.add(&spec);
+                usage.add(&spec, 1);
             }
         }
     }
@@ -53,17 +53,17 @@
         job: &Job,
         guaranteed: bool,
         usage: &Usage,
-        slots: &[Slot],
+        pass: &Pass,
         now: Instant,
     ) -> Option<(MachineId, Victims)> {
         let spec = &job.spec;
         let zones = self.live_zones(job);
         let mut best: Option<(Duration, MachineId, Victims)> = None;
-        for slot in slots {
+        for (at, slot) in pass.slots.iter().enumerate() {
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
                 && (!spec.scatter
                     || zones.get(&slot.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2));
-            let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, slot);
+            let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, pass, at);
             if !zone_ok
                 || late
                 || !self.worth_it(job, slot)
@@ -72,6 +72,11 @@
                 continue;
             }
             let machine = self.machines.get(&slot.id)?;
+            let tally = &machine.tally;
+            let room = slot.free.fits(spec) > 0 || tally.stopping;
+            if !(room || guaranteed || tally.has_lesser(spec.priority)) {
+                continue;
+            }
             let mut free = slot.free;
             let mut candidates = Vec::new();
             for (key, attempt) in machine.attempts.iter().filter(|(_, a)| !a.ended()) {
@@ -111,7 +116,8 @@
     /// being stopped already.
     fn lesser_of_team(&self, spec: &JobSpec, now: Instant) -> Option<(MachineId, (TaskId, u64))> {
         let mut best: Option<(Priority, Duration, &MachineId, &(TaskId, u64))> = None;
-        for machine in self.machines.values() {
+        let lesser = |machine: &&Machine| machine.tally.has_lesser(spec.priority);
+        for machine in self.machines.values().filter(lesser) {
             for (key, attempt) in machine.attempts.iter().filter(|(_, a)| !a.ended()) {
                 let Some(other) = &attempt.spec else {
                     continue;
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -45,7 +45,6 @@
         } else {
             Vec::new()
         };
-        self.settle(now);
         ReportOutcome::Answer(commands)
     }
 
@@ -59,7 +58,9 @@
             return;
         }
         let lease_over = now + self.policy.lease_surely_over();
-        let machine = self.adopt(report, now);
+        let Some(machine) = self.adopt(report, now) else {
+            return;
+        };
         let id = machine.id.clone();
         if report.session <= machine.dead_sessions {
             return;
@@ -112,21 +113,24 @@
         self.restless = true;
     }
 
-    fn adopt(&mut self, report: &Report, now: Instant) -> &mut Machine {
+    fn adopt(&mut self, report: &Report, now: Instant) -> Option<&mut Machine> {
         let id: MachineId = report.machine.as_str().into();
         let lease_over = now + self.policy.lease_surely_over();
-        let machine = self
-            .machines
-            .entry(id.clone())
-            .or_insert_with(|| Machine::new(id, now, lease_over));
+        if !self.machines.contains(&id) {
+            self.machines
+                .insert(Machine::new(id.clone(), now, lease_over));
+        }
+        let machine = self.machines.get_mut(&id)?;
         if machine.heard.is_none() {
             machine.idle_since = Some(now);
         }
-        machine.addr.clone_from(&report.addr);
-        machine.machine_type.clone_from(&report.machine_type);
-        machine.zone.clone_from(&report.zone);
-        machine.spot = report.spot;
-        machine
+        machine.describe(
+            &report.addr,
+            &report.machine_type,
+            &report.zone,
+            report.spot,
+        );
+        Some(machine)
     }
 
     fn take_notice(&mut self, id: &MachineId, notice_s: Option<f64>, now: Instant) {
@@ -239,13 +243,13 @@
             Some(job) if task.index < job.spec.tasks => {
                 attempt.spec = Some(job.spec.clone());
                 let unwanted = job.over.is_some()
-                    || job.done.contains(task.index)
-                    || job.live.contains_key(&task.index);
+                    || job.done().contains(task.index)
+                    || job.live().contains_key(&task.index);
                 if unwanted {
                     attempt.want_stop(Duration::ZERO);
                 }
                 if live {
-                    job.live.entry(task.index).or_insert_with(|| id.clone());
+                    job.put(task.index, id);
                 }
             }
             _ if live => {
@@ -291,7 +295,7 @@
         attempt.clearable = ending != Ending::Done || job.over.is_some();
         match ending {
             Ending::Done => {
-                job.done.insert(task.index);
+                job.complete(task.index);
                 if let Some(ran) = ran.filter(|_| typical) {
                     job.ran.note(ran);
                 }
@@ -302,7 +306,7 @@
             Ending::Error if !asked => {
                 job.failed(id, now);
                 // A job that fails everywhere says nothing about machines.
-                let suspicious = job.failed_on.len() > 2 && job.done.is_empty();
+                let suspicious = job.failed_on.len() > 2 && job.done().is_empty();
                 if !suspicious && !machine.errors.contains(&job.id) {
                     machine.errors.push(job.id.clone());
                     if machine.errors.len() >= ERRORS_TO_CONDEMN && !machine.condemned {
--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use super::{Phase, Shard};
-use crate::protocol::MachineId;
 use crate::protocol::users::JobKind;
+use crate::protocol::{MachineId, TaskId};
 
 /// Least number of completed tasks of a job, and least share of its tasks, that
 /// tell how long the others should run: the first to end are the shortest.
@@ -41,28 +41,37 @@
     /// Gives machines up on which several tasks run far longer than their kin
     /// do elsewhere: their work moves, as far as it can be saved with it.
     pub(super) fn find_slow_machines(&mut self, now: Instant) {
-        let mut slow: Vec<MachineId> = Vec::new();
-        for machine in self.machines.values_mut() {
-            for (key, attempt) in &mut machine.attempts {
-                if attempt.overdue || attempt.phase != Phase::Running || attempt.stop.is_some() {
-                    continue;
-                }
-                let bound = self
-                    .jobs
-                    .get(&key.0.job)
-                    // Tasks that resume from a checkpoint run for any time.
-                    .filter(|job| job.spec.checkpoint_s <= 0.0)
-                    .and_then(|job| job.ran.overdue_after(job.spec.tasks));
-                let ran = attempt
-                    .running_since
-                    .map(|since| now.saturating_duration_since(since));
-                if let (Some(ran), Some(bound)) = (ran, bound)
-                    && ran > bound
-                {
-                    attempt.overdue = true;
-                    machine.slow_tasks += 1;
+        let mut overdue: Vec<(MachineId, (TaskId, u64))> = Vec::new();
+        for job in self.jobs.values() {
+            // Tasks that resume from a checkpoint run for any time.
+            let bound = job.ran.overdue_after(job.spec.tasks);
+            let Some(bound) = bound.filter(|_| job.spec.checkpoint_s <= 0.0) else {
+                continue;
+            };
+            let mut hosts: Vec<&MachineId> = job.live().values().collect();
+            hosts.sort();
+            hosts.dedup();
+            for machine in hosts.into_iter().filter_map(|id| self.machines.get(id)) {
+                for (key, attempt) in machine.attempts_of(&job.id) {
+                    let over = attempt
+                        .running_since
+                        .is_some_and(|since| now.saturating_duration_since(since) > bound);
+                    let runs = attempt.phase == Phase::Running && attempt.stop.is_none();
+                    if over && runs && !attempt.overdue {
+                        overdue.push((machine.id.clone(), key.clone()));
+                    }
                 }
             }
+        }
+        let mut slow: Vec<MachineId> = Vec::new();
+        for (id, key) in overdue {
+            let Some(machine) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            if let Some(attempt) = machine.attempts.get_mut(&key) {
+                attempt.overdue = true;
+                machine.slow_tasks += 1;
+            }
             if machine.slow_tasks >= SLOW_TASKS && !machine.condemned {
                 machine.condemned = true;
                 tracing::info!(machine = %machine.id, "machine given up: far slower than its kin");
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -4,13 +4,13 @@
 
 use super::world::{machine_types, policy, record, spec};
 use crate::coordination::shard::{
-    Action, CommandOutcome, Fact, Loaded, LoadedMachine, RentalOutcome, ReportOutcome, Shard,
-    ShardWrite,
+    Action, CommandOutcome, Fact, Loaded, LoadedMachine, Machine, RentalOutcome, ReportOutcome,
+    Shard, ShardWrite,
 };
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
 use crate::protocol::{MachineId, TaskId};
-use crate::storage::records::{RosterRecord, VERSION};
+use crate::storage::records::RosterRecord;
 
 const TERM: u64 = 100;
 
@@ -24,8 +24,8 @@
 fn roster(id: &str) -> LoadedMachine {
     LoadedMachine {
         id: id.to_owned(),
+        page: 0,
         record: RosterRecord {
-            v: VERSION,
             addr: "10.0.0.1:9000".into(),
             machine_type: "m8".into(),
             zone: "north".into(),
@@ -76,6 +76,10 @@
         }
     }
 
+    fn machine(&self, id: &str) -> &Machine {
+        self.shard.machines().get(id).expect("a known machine")
+    }
+
     fn pass(&mut self, time: Duration) {
         self.now += time;
         self.shard.tick(self.now);
@@ -166,6 +170,7 @@
     script.submit("run-1", spec("blue", 1.0, 1));
     let report = script.report_of("vm-1", TERM, Vec::new());
     script.shard.report(&report, script.now);
+    script.shard.settle(script.now);
     let actions = script.shard.take_actions();
     let admit = actions
         .iter()
@@ -501,8 +506,8 @@
         *machine == slow.0 && commands.iter().any(|c| matches!(c, Command::Stop { .. }))
     });
     assert!(stopped, "its tasks move");
-    assert!(script.shard.machines()[&slow.0].condemned);
-    assert!(!script.shard.machines()[&quick.0].condemned);
+    assert!(script.machine(&slow.0).condemned);
+    assert!(!script.machine(&quick.0).condemned);
 }
 
 /// Found on a hunt: tasks that an earlier owner had started seemed to have run
@@ -531,7 +536,7 @@
         script.report("vm-1", later(5));
         script.pass(Duration::ZERO);
     }
-    assert!(!script.shard.machines()["vm-1"].condemned);
+    assert!(!script.machine("vm-1").condemned);
 }
 
 #[test]
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 
 use crate::coordination::shard::{
-    Action, CommandOutcome, Fact, Loaded, LoadedMachine, Policy, RentalOutcome, ReportOutcome,
-    Shard, ShardWrite, TeamPolicy,
+    Action, CommandOutcome, Loaded, LoadedMachine, Policy, RentalOutcome, ReportOutcome, Shard,
+    ShardWrite, TeamPolicy,
 };
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
 use crate::protocol::users::{JobKind, JobSpec, Priority, Stage};
@@ -20,6 +20,7 @@
 use crate::protocol::{MachineId, TaskId};
 use crate::storage::keys;
 use crate::storage::records::{FinalRecord, JobRecord, VERSION};
+use crate::storage::roster::read_page;
 
 pub const LEASE: Duration = Duration::from_secs(27);
 pub const CANCEL: Duration = Duration::from_secs(52);
@@ -94,6 +95,7 @@
         snapshot: Duration::from_secs(3),
         staleness: Duration::from_secs(15),
         snapshot_writes_per_s: 10.0,
+        fact_writes_per_s: 20.0,
         suspect: Duration::from_secs(6),
         abandon: Duration::from_secs(7),
         headroom: 0.1,
@@ -252,9 +254,9 @@
     finals: BTreeMap<String, FinalRecord>,
     cancelled: BTreeMap<String, Instant>,
     specs: BTreeMap<String, Arc<JobSpec>>,
-    roster: BTreeMap<String, crate::storage::records::RosterRecord>,
+    roster: BTreeMap<String, serde_json::Value>,
     chunks: BTreeMap<String, Value>,
-    bookings: BTreeMap<String, crate::storage::records::BookingRecord>,
+    bookings: BTreeMap<String, serde_json::Value>,
     rented: BTreeMap<String, Vec<String>>,
     next_machine: u64,
     workers: BTreeMap<String, Worker>,
@@ -356,16 +358,13 @@
                 .iter()
                 .map(|(id, (mark, record))| (id.clone(), *mark, record.clone()))
                 .collect(),
-            roster: self
-                .roster
-                .iter()
-                .map(|(id, record)| LoadedMachine {
-                    id: id.clone(),
-                    record: record.clone(),
-                })
-                .collect(),
+            roster: self.loaded_roster(),
             chunks: self.chunks.clone(),
-            bookings: self.bookings.values().cloned().collect(),
+            bookings: self
+                .bookings
+                .values()
+                .map(|value| serde_json::from_value(value.clone()).expect("a rental"))
+                .collect(),
         };
         let mut shard = Shard::take_over(policy(), self.term, loaded, self.now, 0);
         shard.set_types(&machine_types());
@@ -376,6 +375,17 @@
         self.act();
     }
 
+    fn loaded_roster(&self) -> Vec<LoadedMachine> {
+        let mut loaded = Vec::new();
+        for (key, value) in &self.roster {
+            let page = key[keys::roster_prefix().len()..].parse().expect("a page");
+            for (id, record) in read_page(value).expect("a roster page") {
+                loaded.push(LoadedMachine { id, page, record });
+            }
+        }
+        loaded
+    }
+
     pub fn crash_owner(&mut self) {
         self.owner = None;
     }
@@ -652,8 +662,8 @@
                     return;
                 }
                 self.revision += 1;
-                for (fact, change) in write.facts.iter().zip(&write.changes) {
-                    self.apply(fact, change);
+                for change in &write.changes {
+                    self.apply(change);
                 }
                 self.send(Message::Written { owner, write });
             }
@@ -756,41 +766,24 @@
         }
     }
 
-    fn apply(&mut self, fact: &Fact, change: &crate::protocol::state::Change) {
+    fn apply(&mut self, change: &crate::protocol::state::Change) {
         use crate::protocol::state::Change;
         let (key, value) = match change {
             Change::Put { key, value, .. } => (key.clone(), Some(value.clone())),
             Change::Delete { key } => (key.clone(), None),
         };
-        match fact {
-            Fact::Chunk(..) => match value {
-                Some(value) => {
-                    self.chunks.insert(key, value);
-                }
-                None => {
-                    self.chunks.remove(&key);
-                }
-            },
-            Fact::Admit(id) | Fact::Return(id) | Fact::Forget(id) => {
-                assert_eq!(key, keys::roster(id));
-                match value.and_then(|value| serde_json::from_value(value).ok()) {
-                    Some(record) => {
-                        self.roster.insert(id.to_string(), record);
-                    }
-                    None => {
-                        self.roster.remove(&**id);
-                    }
-                }
-            }
-            Fact::Book(rental) => {
-                if let Some(record) = value.and_then(|value| serde_json::from_value(value).ok()) {
-                    self.bookings.insert(rental.request.clone(), record);
-                }
-            }
-            Fact::Unbook(request) => {
-                self.bookings.remove(request);
-            }
-        }
+        let kept = if key.starts_with(&keys::roster_prefix()) {
+            &mut self.roster
+        } else if key.starts_with(&keys::snapshot_prefix()) {
+            &mut self.chunks
+        } else {
+            assert!(key.starts_with(&keys::booking_prefix()), "{key}");
+            &mut self.bookings
+        };
+        match value {
+            Some(value) => kept.insert(key, value),
+            None => kept.remove(&key),
+        };
     }
 
     // --- cloud and workers
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -14,6 +14,7 @@
 use crate::protocol::{MachineId, TaskId};
 use crate::storage::keys;
 use crate::storage::records::{BookingRecord, RosterRecord, VERSION};
+use crate::storage::roster::Roster;
 use crate::storage::snapshot;
 
 /// What a change is for.
@@ -23,8 +24,6 @@
     Admit(MachineId),
     /// The machine may be deleted from now on.
     Return(MachineId),
-    /// The machine is gone.
-    Forget(MachineId),
     /// The rental may be requested from now on.
     Book(Rental),
     /// The rental is answered.
@@ -47,6 +46,9 @@
 #[derive(Debug, Default)]
 pub struct Writer {
     facts: VecDeque<(Fact, Change)>,
+    pub(super) roster: Roster,
+    /// What follows once the roster's changes are written.
+    entered: Vec<Fact>,
     chunks: VecDeque<(Fact, Change)>,
     in_flight: bool,
     /// What the state service holds of the snapshot.
@@ -61,6 +63,8 @@
     last_cycle: Option<Instant>,
     /// Chunk writes allowed now.
     tokens: f64,
+    /// Changes for facts allowed now; below 0 they wait and gather.
+    fact_tokens: f64,
     refilled: Option<Instant>,
 }
 
@@ -83,8 +87,9 @@
     /// The queues and the budget, as text for operators.
     pub(super) fn describe(&self, now: Instant) -> String {
         format!(
-            "writes: {} facts and {} chunks wait, {:.0} chunks allowed now, unrecorded for {:?}",
+            "writes: {} facts, {} roster entries and {} chunks wait, {:.0} chunks allowed now, unrecorded for {:?}",
             self.facts.len(),
+            self.entered.len(),
             self.chunks.len(),
             self.tokens.max(0.0),
             self.dirty_since
@@ -109,12 +114,7 @@
         }
         machine.admission_asked = true;
         let record = roster_record(machine, false);
-        if let Ok(value) = serde_json::to_value(record) {
-            self.writes.fact(
-                Fact::Admit(id.clone()),
-                Change::put(keys::roster(id), value),
-            );
-        }
+        self.enter(id, record, Fact::Admit(id.clone()));
     }
 
     /// Records that a machine is to be deleted, before it is.
@@ -122,18 +122,19 @@
         let Some(machine) = self.machines.get(id) else {
             return;
         };
-        if let Ok(value) = serde_json::to_value(roster_record(machine, true)) {
-            self.writes.fact(
-                Fact::Return(id.clone()),
-                Change::put(keys::roster(id), value),
-            );
-        }
+        let record = roster_record(machine, true);
+        self.enter(id, record, Fact::Return(id.clone()));
+    }
+
+    fn enter(&mut self, id: &MachineId, record: RosterRecord, fact: Fact) {
+        let most = self.policy.value_bytes;
+        self.writes.roster.put(id, record, most);
+        self.writes.entered.push(fact);
     }
 
     /// Takes a machine that is gone off the roster.
     pub(super) fn record_gone(&mut self, id: &MachineId) {
-        self.writes
-            .fact(Fact::Forget(id.clone()), Change::delete(keys::roster(id)));
+        self.writes.roster.remove(id);
     }
 
     pub(super) fn record_booking(&mut self, rental: &Rental) {
@@ -172,8 +173,24 @@
             changes: Vec::new(),
         };
         let mut bytes = 0;
+        let facts_allowed = self.writes.fact_tokens > 0.0;
+        // A roster in few pages is written whole, so that what follows from
+        // its changes can follow at once.
+        while facts_allowed && self.writes.roster.has_changes() && write.changes.len() < room {
+            let Some(change) = self.writes.roster.next_change() else {
+                continue;
+            };
+            bytes += change_size(&change);
+            write.changes.push(change);
+            if bytes + self.policy.value_bytes > MAX_TXN_BYTES {
+                break;
+            }
+        }
+        if !self.writes.roster.has_changes() && !write.changes.is_empty() {
+            write.facts.append(&mut self.writes.entered);
+        }
         while write.changes.len() < room {
-            let from_facts = !self.writes.facts.is_empty();
+            let from_facts = facts_allowed && !self.writes.facts.is_empty();
             let queue = if from_facts {
                 &mut self.writes.facts
             } else if self.writes.tokens >= 1.0 {
@@ -190,7 +207,9 @@
             }
             bytes += size;
             if let Some((fact, change)) = queue.pop_front() {
-                if !from_facts {
+                if from_facts {
+                    self.writes.fact_tokens -= 1.0;
+                } else {
                     self.writes.tokens -= 1.0;
                 }
                 write.facts.push(fact);
@@ -203,17 +222,22 @@
             }
             return;
         }
+        // The sequence number is a change as well.
+        self.writes.fact_tokens -= 1.0;
         self.writes.in_flight = true;
         self.out.push(Action::Write(write));
     }
 
     fn refill(&mut self, now: Instant) {
         let rate = self.policy.snapshot_writes_per_s;
+        let fact_rate = self.policy.fact_writes_per_s;
         if let Some(last) = self.writes.refilled {
             let passed = now.saturating_duration_since(last).as_secs_f64();
             self.writes.tokens = (self.writes.tokens + passed * rate).min(rate.max(2.0));
+            self.writes.fact_tokens = (self.writes.fact_tokens + passed * fact_rate).min(fact_rate);
         } else {
             self.writes.tokens = rate;
+            self.writes.fact_tokens = fact_rate;
         }
         self.writes.refilled = Some(now);
     }
@@ -234,13 +258,13 @@
             .filter(|job| job.over.is_none())
             .map(|job| {
                 let placed = job
-                    .live
+                    .live()
                     .iter()
                     .map(|(n, machine)| (*n, machine.to_string()))
                     .collect::<BTreeMap<_, _>>()
                     .into_iter()
                     .collect::<Vec<_>>();
-                (&*job.id, &job.done, placed)
+                (&*job.id, job.done(), placed)
             })
             .collect();
         let chunks = snapshot::encode(rows.into_iter(), self.policy.value_bytes);
@@ -293,6 +317,7 @@
     /// The transaction under way was applied.
     pub fn shard_written(&mut self, write: &ShardWrite, now: Instant) {
         self.writes.in_flight = false;
+        let mut returned = Vec::new();
         for fact in &write.facts {
             match fact {
                 Fact::Admit(id) => {
@@ -300,7 +325,7 @@
                         machine.admitted = true;
                     }
                 }
-                Fact::Return(id) => self.out.push(Action::Delete(vec![id.clone()])),
+                Fact::Return(id) => returned.push(id.clone()),
                 Fact::Book(rental) => self.out.push(Action::Rent(rental.clone())),
                 Fact::Chunk(key, Some(value)) => {
                     self.writes.written.insert(key.clone(), value.clone());
@@ -308,11 +333,12 @@
                 Fact::Chunk(key, None) => {
                     self.writes.written.remove(key);
                 }
-                Fact::Forget(_) | Fact::Unbook(_) => {}
+                Fact::Unbook(_) => {}
             }
         }
+        self.delete(&returned);
         self.restless = true;
-        self.settle(now);
+        self.pump_writes(now);
     }
 }
 
@@ -328,10 +354,9 @@
 
 fn roster_record(machine: &super::Machine, returning: bool) -> RosterRecord {
     RosterRecord {
-        v: VERSION,
         addr: machine.addr.clone(),
-        machine_type: machine.machine_type.clone(),
-        zone: machine.zone.clone(),
+        machine_type: machine.machine_type.to_string(),
+        zone: machine.zone.to_string(),
         spot: machine.spot,
         returning,
     }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -33,10 +33,20 @@
     pub term: Option<u64>,
     /// The zone that holds most of the machines, as the owner last said.
     pub main_zone: Option<String>,
+    /// From the owner: its unfinished jobs with their tasks done and running.
+    pub progress: Vec<Progress>,
     /// Whether it gave the shard up lately because it heard too few workers.
     pub deaf: bool,
 }
 
+/// How far a job is, for display.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct Progress {
+    pub job: String,
+    pub done: u32,
+    pub running: u32,
+}
+
 /// The answer to a [`PeerRequest`].
 #[derive(Debug, Clone, Archive, Serialize, Deserialize)]
 pub enum PeerAnswer {
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -22,10 +22,12 @@
     pub staleness_s: f64,
     /// Share of the state service's writes that snapshots may use.
     pub snapshot_write_share: f64,
-    /// Silence after which a machine gets no new tasks.
-    pub suspect_s: f64,
-    /// Silence after which a machine is given back, so that its tasks can move.
-    pub abandon_s: f64,
+    /// Silence past the latest usual report after which a machine gets no new
+    /// tasks.
+    pub suspect_late_s: f64,
+    /// Silence past the latest usual report after which a machine is given back,
+    /// so that its tasks can move.
+    pub abandon_late_s: f64,
     /// Capacity held ready, as a multiple of what runs and waits.
     pub headroom: f64,
     /// How long a machine may stay idle before it is given back.
@@ -43,8 +45,8 @@
             snapshot_s: 3.0,
             staleness_s: 15.0,
             snapshot_write_share: 0.5,
-            suspect_s: 6.0,
-            abandon_s: 7.0,
+            suspect_late_s: 2.25,
+            abandon_late_s: 3.25,
             headroom: 0.1,
             idle_s: 10.0,
             refused_s: 15.0,
@@ -80,8 +82,13 @@
             ("snapshot-s", self.snapshot_s, 0.2, 60.0),
             ("staleness-s", self.staleness_s, self.snapshot_s, 600.0),
             ("snapshot-write-share", self.snapshot_write_share, 0.05, 0.9),
-            ("suspect-s", self.suspect_s, 1.0, 600.0),
-            ("abandon-s", self.abandon_s, self.suspect_s, 3600.0),
+            ("suspect-late-s", self.suspect_late_s, 0.5, 600.0),
+            (
+                "abandon-late-s",
+                self.abandon_late_s,
+                self.suspect_late_s,
+                3600.0,
+            ),
             ("headroom", self.headroom, 0.0, 10.0),
             ("idle-s", self.idle_s, 0.0, 86_400.0),
             ("refused-s", self.refused_s, 1.0, 3600.0),
@@ -114,12 +121,12 @@
         Duration::from_secs_f64(self.staleness_s)
     }
 
-    pub fn suspect(&self) -> Duration {
-        Duration::from_secs_f64(self.suspect_s)
+    pub fn suspect_late(&self) -> Duration {
+        Duration::from_secs_f64(self.suspect_late_s)
     }
 
-    pub fn abandon(&self) -> Duration {
-        Duration::from_secs_f64(self.abandon_s)
+    pub fn abandon_late(&self) -> Duration {
+        Duration::from_secs_f64(self.abandon_late_s)
     }
 
     pub fn idle(&self) -> Duration {
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -61,6 +61,11 @@
         Duration::from_secs_f64(self.report_s)
     }
 
+    /// When the next report is due at the latest: pauses vary by a quarter.
+    pub fn latest_report(&self) -> Duration {
+        Duration::from_secs_f64(self.report_s * 1.25)
+    }
+
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
     }
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -261,14 +261,37 @@
         prefix: &str,
         after: u64,
         wait: Duration,
+    ) -> Result<NewsPage, StateError> {
+        let deadline = wait + Duration::from_millis(1500);
+        self.news(&self.watches, prefix, after, wait, deadline)
+            .await
+    }
+
+    /// All changes of keys with a prefix up to now, without waiting.
+    pub async fn look(
+        &self,
+        prefix: &str,
+        after: u64,
+        deadline: Duration,
+    ) -> Result<NewsPage, StateError> {
+        self.news(&self.facts, prefix, after, Duration::ZERO, deadline)
+            .await
+    }
+
+    async fn news(
+        &self,
+        client: &HttpClient,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        deadline: Duration,
     ) -> Result<NewsPage, StateError> {
         let path = format!(
             "/follow?Prefix={prefix}&After={after}&HoldMs={}",
             wait.as_millis()
         );
-        let deadline = wait + Duration::from_millis(1500);
         let answer = self
-            .call(&self.watches, Method::GET, &path, Vec::new(), deadline)
+            .call(client, Method::GET, &path, Vec::new(), deadline)
             .await?;
         match answer.status {
             StatusCode::OK => parse(&answer),
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -2,17 +2,23 @@
 
 use super::records::SHARD;
 
+/// Prefix of all jobs.
+pub const ALL_JOBS: &str = "j/";
+
 /// Prefix of the jobs that are neither done nor cancelled.
-pub const JOBS: &str = "j/";
+pub const JOBS: &str = "j/open/";
+
+/// Prefix of the finished and cancelled jobs.
+pub const FINAL_JOBS: &str = "j/over/";
 
 /// An unfinished job.
 pub fn job(id: &str) -> String {
-    format!("j/{id}")
+    format!("{JOBS}{id}")
 }
 
 /// A finished or cancelled job.
 pub fn final_job(id: &str) -> String {
-    format!("f/{id}")
+    format!("{FINAL_JOBS}{id}")
 }
 
 /// Prefix of what says who runs a shard.
@@ -45,9 +51,9 @@
     format!("m/{SHARD}/")
 }
 
-/// A machine that may hold tasks.
-pub fn roster(machine: &str) -> String {
-    format!("m/{SHARD}/{machine}")
+/// One page of the machines that may hold tasks.
+pub fn roster_page(page: u32) -> String {
+    format!("m/{SHARD}/{page:04}")
 }
 
 /// Prefix of the rentals that are not yet answered.
--- /dev/null
+++ b/src/storage/ledger.rs
@@ -0,0 +1,220 @@
+//! What one controller knows of all jobs, brought up to date by single looks
+//! at the state service that answer many users at once.
+//!
+//! A look is a `follow` that doesn't wait: its answer holds every change up to
+//! its revision, so whatever the ledger says then was true at some moment
+//! after the look was sent. Final states never change and need no look.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use super::client::{StateClient, StateError};
+use super::keys;
+use super::records::FinalRecord;
+use crate::clock::Clock;
+use crate::protocol::state::{Item, News};
+use crate::protocol::users::Stage;
+
+/// Final states that are remembered; older ones are read singly.
+const MOST_FINAL: usize = 20_000;
+/// Deadline of a look.
+const LOOK: Duration = Duration::from_millis(1200);
+/// Deadline of reading all open jobs.
+const RELOAD: Duration = Duration::from_millis(1500);
+
+/// What the ledger says of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// Accepted, and neither done nor cancelled.
+    Open,
+    /// Over, and how many tasks it had.
+    Over(Stage, u32),
+    /// Not open; whether it is over or never was, only its record tells.
+    Unclear,
+}
+
+#[derive(Debug, Default)]
+struct Book {
+    /// The revision up to which it is complete; None before the first load.
+    revision: Option<u64>,
+    open: HashSet<String>,
+    over: HashMap<String, (Stage, u32)>,
+    /// Final jobs in the order in which they came.
+    order: VecDeque<String>,
+}
+
+impl Book {
+    fn remember(&mut self, id: &str, stage: Stage, tasks: u32) {
+        self.open.remove(id);
+        if self.over.insert(id.to_owned(), (stage, tasks)).is_none() {
+            self.order.push_back(id.to_owned());
+        }
+        while self.order.len() > MOST_FINAL {
+            if let Some(oldest) = self.order.pop_front() {
+                self.over.remove(&oldest);
+            }
+        }
+    }
+
+    fn load(&mut self, items: &[Item], revision: u64) {
+        let ids = items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(keys::JOBS));
+        self.open = ids.map(str::to_owned).collect();
+        self.revision = Some(revision);
+    }
+
+    fn take(&mut self, events: Vec<News>, revision: u64) {
+        for event in events {
+            match event {
+                News::Put { key, value, .. } => {
+                    if let Some(id) = key.strip_prefix(keys::JOBS) {
+                        self.open.insert(id.to_owned());
+                    } else if let Some(id) = key.strip_prefix(keys::FINAL_JOBS)
+                        && let Ok(last) = serde_json::from_value::<FinalRecord>(value)
+                    {
+                        self.remember(id, last.stage, last.tasks);
+                    }
+                }
+                News::Delete { key, .. } => {
+                    if let Some(id) = key.strip_prefix(keys::JOBS) {
+                        self.open.remove(id);
+                    }
+                }
+            }
+        }
+        self.revision = self.revision.max(Some(revision));
+    }
+}
+
+/// The last look: when it was sent, and how it went.
+type LastLook = Option<(Instant, Result<(), StateError>)>;
+
+/// All jobs as one controller knows them.
+pub struct Ledger {
+    book: Mutex<Book>,
+    last: tokio::sync::Mutex<LastLook>,
+    /// Least pause between the sending of two looks.
+    pace: Duration,
+}
+
+impl Ledger {
+    pub fn new(pace: Duration) -> Self {
+        Self {
+            book: Mutex::default(),
+            last: tokio::sync::Mutex::new(None),
+            pace,
+        }
+    }
+
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// A job's final state, if it is known: it needs no look.
+    pub fn final_state(&self, id: &str) -> Option<(Stage, u32)> {
+        self.book().over.get(id).copied()
+    }
+
+    /// Notes a final record that was written or read.
+    pub fn note_final(&self, id: &str, last: &FinalRecord) {
+        self.book().remember(id, last.stage, last.tasks);
+    }
+
+    /// What is known of a job, as of the last look.
+    pub fn find(&self, id: &str) -> Known {
+        let book = self.book();
+        match book.over.get(id) {
+            Some((stage, tasks)) => Known::Over(*stage, *tasks),
+            None if book.open.contains(id) => Known::Open,
+            None => Known::Unclear,
+        }
+    }
+
+    /// Returns once a look that was sent after this call has been answered.
+    /// All who wait when it is sent share it, and its failure.
+    pub async fn look(&self, state: &StateClient, clock: &dyn Clock) -> Result<(), StateError> {
+        let asked = clock.now();
+        let mut last = self.last.lock().await;
+        if let Some((sent, result)) = &*last {
+            if *sent >= asked {
+                return result.clone();
+            }
+            let rest = (*sent + self.pace).saturating_duration_since(clock.now());
+            tokio::time::sleep(rest).await;
+        }
+        let sent = clock.now();
+        let result = self.refresh(state).await;
+        *last = Some((sent, result.clone()));
+        result
+    }
+
+    async fn refresh(&self, state: &StateClient) -> Result<(), StateError> {
+        let revision = self.book().revision;
+        if let Some(revision) = revision {
+            match state.look(keys::ALL_JOBS, revision, LOOK).await {
+                Ok(page) => {
+                    self.book().take(page.events, page.revision);
+                    return Ok(());
+                }
+                Err(StateError::TooOld) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let (items, revision) = state.list(keys::JOBS, RELOAD).await?;
+        self.book().load(&items, revision);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    fn put(key: &str, value: serde_json::Value) -> News {
+        News::Put {
+            key: key.to_owned(),
+            value,
+            version: 1,
+        }
+    }
+
+    #[test]
+    fn a_job_goes_from_open_to_over_and_old_final_states_are_forgotten() {
+        let ledger = Ledger::new(Duration::ZERO);
+        assert_eq!(ledger.find("run-1"), Known::Unclear);
+        let open = keys::job("run-1");
+        ledger.book().take(vec![put(&open, json!({}))], 5);
+        assert_eq!(ledger.find("run-1"), Known::Open);
+        assert_eq!(ledger.final_state("run-1"), None);
+        ledger.book().take(
+            vec![News::Delete {
+                key: open,
+                version: 6,
+            }],
+            6,
+        );
+        assert_eq!(ledger.find("run-1"), Known::Unclear, "its record tells");
+        ledger.book().remember("run-1", Stage::Done, 3);
+        assert_eq!(ledger.find("run-1"), Known::Over(Stage::Done, 3));
+        for n in 0..MOST_FINAL {
+            ledger.book().remember(&format!("run-9{n}"), Stage::Done, 1);
+        }
+        assert_eq!(ledger.find("run-1"), Known::Unclear);
+        assert_eq!(ledger.book().over.len(), MOST_FINAL);
+    }
+
+    #[test]
+    fn a_reload_drops_what_is_not_open_any_more() {
+        let ledger = Ledger::new(Duration::ZERO);
+        ledger
+            .book()
+            .take(vec![put(&keys::job("run-1"), json!({}))], 5);
+        ledger.book().load(&[], 9);
+        assert_eq!(ledger.find("run-1"), Known::Unclear);
+        assert_eq!(ledger.book().revision, Some(9));
+    }
+}
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -3,6 +3,8 @@
 pub mod client;
 pub mod facts;
 pub mod keys;
+pub mod ledger;
 pub mod records;
+pub mod roster;
 pub mod snapshot;
 pub mod task_set;
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -8,8 +8,9 @@
 /// The only shard so far: keys and interfaces carry it, one owner runs it.
 pub const SHARD: u32 = 0;
 
-/// Version of the record formats that this program writes.
-pub const VERSION: u32 = 1;
+/// Version of the record formats that this program writes. Since 2 the roster
+/// is kept in pages, and jobs that are over stand beside the open ones.
+pub const VERSION: u32 = 2;
 
 /// An unfinished job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -60,19 +61,26 @@
     pub n: u64,
 }
 
-/// A machine that may hold tasks.
+/// A machine that may hold tasks, as a page of the roster holds it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RosterRecord {
-    pub v: u32,
+    #[serde(rename = "a")]
     pub addr: String,
+    #[serde(rename = "t")]
     pub machine_type: String,
+    #[serde(rename = "z")]
     pub zone: String,
+    #[serde(rename = "s", default, skip_serializing_if = "is_false")]
     pub spot: bool,
     /// It is being given back.
-    #[serde(default)]
+    #[serde(rename = "r", default, skip_serializing_if = "is_false")]
     pub returning: bool,
 }
 
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// A rental that is not yet answered.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct BookingRecord {
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -41,11 +41,16 @@
 impl HttpClient {
     /// A client that keeps unused connections for a while.
     pub fn new() -> Self {
+        Self::keeping(Duration::from_secs(30))
+    }
+
+    /// A client that keeps unused connections for so long.
+    pub fn keeping(idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(idle)
             .pool_max_idle_per_host(4)
             .pool_timer(TokioTimer::new())
             .build(connector);
