Sockets, writes for users and passes are bounded; pressure is judged job by job

Cause: with hundreds of jobs one is always short of time, and its pressure opened dear machines to all work; at start thousands of refused writes were tried again at once; one pass placed thousands of tasks while renewals waited.

--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -38,13 +38,15 @@
             commands,
         } => {
             let outcome = command(&node, &tenure, &addr, session, &commands).await;
-            node.with_shard(&tenure, |shard, now| {
+            node.with_shard(&tenure, "answers", |shard, now| {
                 shard.command_answered(&machine, number, &commands, outcome, now);
             });
         }
         Action::Write(write) => {
             if write_shard(&node, &tenure, &write).await {
-                node.with_shard(&tenure, |shard, now| shard.shard_written(&write, now));
+                node.with_shard(&tenure, "written", |shard, now| {
+                    shard.shard_written(&write, now)
+                });
             }
         }
         Action::Finish { job, mark } => finish(&node, &tenure, &job, mark).await,
@@ -55,13 +57,13 @@
             } else {
                 RentalOutcome::Unknown
             };
-            node.with_shard(&tenure, |shard, now| {
+            node.with_shard(&tenure, "cloud", |shard, now| {
                 shard.rental_answered(&rental.request, outcome, now);
             });
         }
         Action::Delete(machines) => {
             let done = tenure.live(node.now()) && delete(&node, &machines).await;
-            node.with_shard(&tenure, |shard, now| {
+            node.with_shard(&tenure, "cloud", |shard, now| {
                 shard.deletion_answered(&machines, done, now);
             });
         }
@@ -97,7 +99,7 @@
         return CommandOutcome::NotSent;
     }
     let answer = node
-        .workers_http
+        .workers_http()
         .call(Method::POST, addr, "/commands", body, deadline)
         .await;
     match answer {
@@ -209,7 +211,7 @@
         let item = match node.state.get(&keys::job(job), STATE_DEADLINE).await {
             Ok(Some(item)) => item,
             Ok(None) => {
-                node.with_shard(tenure, |shard, _| shard.job_gone(job, None));
+                node.with_shard(tenure, "jobs", |shard, _| shard.job_gone(job, None));
                 return;
             }
             Err(_) => {
@@ -229,7 +231,7 @@
         let txn = txn.guard(keys::owner(), tenure.term);
         match node.state.txn(&txn, STATE_DEADLINE).await {
             Ok(TxnOutcome::Committed { .. }) => {
-                node.with_shard(tenure, |shard, _| {
+                node.with_shard(tenure, "jobs", |shard, _| {
                     shard.job_gone(job, Some(Stage::Done));
                 });
                 return;
@@ -251,7 +253,7 @@
     while !tenure.ended() {
         if let Ok(item) = node.state.get(&keys::final_job(job), STATE_DEADLINE).await {
             let record = item.and_then(|item| serde_json::from_value(item.value).ok());
-            node.with_shard(tenure, |shard, _| shard.orphan_read(job, record));
+            node.with_shard(tenure, "jobs", |shard, _| shard.orphan_read(job, record));
             return;
         }
         attempt += 1;
@@ -330,7 +332,7 @@
         if tenure.live(node.now())
             && let Some(list) = machine_list(&node).await
         {
-            node.with_shard(&tenure, |shard, now| shard.listed(&list, now));
+            node.with_shard(&tenure, "cloud", |shard, now| shard.listed(&list, now));
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -20,6 +20,7 @@
 use crate::storage::client::{StateClient, StateError, backoff};
 use crate::storage::ledger::Ledger;
 use crate::storage::records::OwnerRecord;
+use crate::telemetry::Activities;
 use crate::transport::client::HttpClient;
 use crate::transport::limit::Limited;
 use crate::transport::{front, internal};
@@ -36,10 +37,14 @@
 /// must not hold up commands to the others.
 const MOST_PROBES: usize = 32;
 
+/// Writes for users under way at once: what the state service can't take at
+/// once waits here instead of being refused there again and again.
+const MOST_USER_WRITES: usize = 6;
+
 /// Shares of the sockets, in percent, for the two servers; the rest is for
 /// connections to others.
-const FRONT_SHARE: usize = 70;
-const INTERNAL_SHARE: usize = 10;
+const FRONT_SHARE: usize = 80;
+const INTERNAL_SHARE: usize = 5;
 
 /// Share of the state service's requests for looks by all controllers.
 const LOOK_SHARE: f64 = 0.2;
@@ -74,6 +79,8 @@
 pub struct Ownership {
     pub tenure: Arc<Tenure>,
     pub shard: Shard,
+    /// What the shard's events cost.
+    pub activities: Activities,
 }
 
 /// What a controller knows.
@@ -107,10 +114,13 @@
     pub state: StateClient,
     pub ledger: Ledger,
     pub cloud_http: HttpClient,
-    pub workers_http: HttpClient,
+    workers_kept: HttpClient,
+    workers_once: HttpClient,
     /// Batches of commands, and probes, that may be under way to workers.
     pub commands: Semaphore,
     pub probes: Semaphore,
+    /// Writes for users that may be under way.
+    pub user_writes: Semaphore,
     pub peers_http: HttpClient,
     /// Tells this run of the process from earlier ones.
     pub run: u64,
@@ -130,7 +140,9 @@
             state,
             ledger,
             cloud_http: HttpClient::new(),
-            workers_http: HttpClient::keeping(WORKER_IDLE),
+            workers_kept: HttpClient::keeping(WORKER_IDLE),
+            workers_once: HttpClient::keeping(Duration::ZERO),
+            user_writes: Semaphore::new(MOST_USER_WRITES),
             commands: Semaphore::new(MOST_COMMANDS),
             probes: Semaphore::new(MOST_PROBES),
             peers_http: HttpClient::new(),
@@ -164,6 +176,7 @@
     pub fn with_shard<T>(
         self: &Arc<Self>,
         tenure: &Arc<Tenure>,
+        activity: &'static str,
         event: impl FnOnce(&mut Shard, Instant) -> T,
     ) -> Option<T> {
         let now = self.now();
@@ -174,6 +187,8 @@
                 .as_mut()
                 .filter(|own| Arc::ptr_eq(&own.tenure, tenure) && !tenure.ended())?;
             let result = event(&mut ownership.shard, now);
+            let took = self.clock.now().saturating_duration_since(now);
+            ownership.activities.note(activity, took);
             if ownership.shard.restless() {
                 tenure.work.notify_one();
             }
@@ -185,6 +200,18 @@
         Some(result)
     }
 
+    /// The client for commands. Connections to workers are kept as long as
+    /// theirs to us and ours to them fit the sockets together.
+    pub fn workers_http(&self) -> &HttpClient {
+        let sockets = self.settings.platform.settings.resources.max_connections;
+        let workers = self.lock().workers.len();
+        if workers * 2 > sockets * FRONT_SHARE / 100 {
+            &self.workers_once
+        } else {
+            &self.workers_kept
+        }
+    }
+
     /// The tenure under which this node may act right now.
     pub fn live_tenure(&self) -> Option<Arc<Tenure>> {
         let inner = self.lock();
@@ -305,6 +332,7 @@
                     "past"
                 }
             ));
+            page.push_str(&format!("time: {}\n", own.activities));
             page.push_str(&own.shard.describe(now));
         }
         page
@@ -366,7 +394,7 @@
                     inner.ownership.as_ref().map(|own| own.tenure.clone())
                 };
                 if let Some(tenure) = tenure {
-                    node.with_shard(&tenure, |shard, _| shard.set_types(&types));
+                    node.with_shard(&tenure, "types", |shard, _| shard.set_types(&types));
                 }
                 Duration::from_secs(30)
             }
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -13,6 +13,7 @@
 use crate::storage::client::{StateError, TxnOutcome, backoff};
 use crate::storage::records::{JobRecord, OwnerRecord, SequenceRecord, VERSION};
 use crate::storage::{keys, roster};
+use crate::telemetry::Activities;
 
 /// Pause between two looks at the shard's timers.
 const TICK: Duration = Duration::from_millis(200);
@@ -301,10 +302,11 @@
         inner.ownership = Some(Ownership {
             tenure: tenure.clone(),
             shard,
+            activities: Activities::default(),
         });
     }
     let types = node.lock().types.clone();
-    node.with_shard(&tenure, |shard, _| {
+    node.with_shard(&tenure, "types", |shard, _| {
         if let Some(types) = types {
             shard.set_types(&types);
         }
@@ -335,7 +337,7 @@
         let begun = node.now();
         let ticks = begun >= next_tick;
         if tenure.live(begun) {
-            node.with_shard(tenure, |shard, now| {
+            node.with_shard(tenure, "passes", |shard, now| {
                 if ticks {
                     shard.tick(now);
                 } else {
@@ -350,8 +352,13 @@
         }
         if ended >= next_summary {
             next_summary = ended + SUMMARY;
-            if let Some(summary) = node.with_shard(tenure, |shard, _| shard.summary()) {
-                info!(term = tenure.term, summary, "shard");
+            if let Some(own) = &node.lock().ownership {
+                info!(
+                    term = tenure.term,
+                    summary = own.shard.summary(),
+                    time = %own.activities,
+                    "shard"
+                );
             }
         }
         tokio::time::sleep((cost * PASS_REST).clamp(SHORTEST_REST, LONGEST_REST)).await;
@@ -443,7 +450,7 @@
                 if page.events.is_empty() {
                     continue;
                 }
-                node.with_shard(&tenure, |shard, now| {
+                node.with_shard(&tenure, "jobs", |shard, now| {
                     for event in page.events {
                         match event {
                             News::Put {
@@ -474,7 +481,9 @@
                 Ok((items, at)) => {
                     revision = at;
                     let jobs: Vec<_> = items.into_iter().filter_map(read_job).collect();
-                    node.with_shard(&tenure, |shard, now| shard.jobs_reread(jobs, at, now));
+                    node.with_shard(&tenure, "jobs", |shard, now| {
+                        shard.jobs_reread(jobs, at, now)
+                    });
                 }
                 Err(_) => {
                     attempt += 1;
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -30,6 +30,8 @@
 const POLL_HEDGE: Duration = Duration::from_millis(600);
 /// Deadline of a request handed to a peer.
 const FORWARD: Duration = Duration::from_millis(900);
+/// Longest wait for a turn to write.
+const TURN: Duration = Duration::from_millis(1500);
 /// Tries after a 429, which only means that others are being served.
 const BUSY_TRIES: u32 = 4;
 
@@ -158,6 +160,10 @@
             Ask::Submit(_) | Ask::Cancel(_) => HEDGE,
         })
         .await;
+        // Others are as busy; what waits for its turn here has it soonest here.
+        while node.user_writes.available_permits() == 0 {
+            tokio::time::sleep(HEDGE).await;
+        }
         hand_on(node, &ask).await
     };
     tokio::pin!(hedge);
@@ -241,6 +247,15 @@
     }
 }
 
+/// Writes for a user in turn; who would wait for too long is told to come back.
+async fn user_write(node: &Node, txn: &Txn) -> Result<TxnOutcome, StateError> {
+    let turn = tokio::time::timeout(TURN, node.user_writes.acquire()).await;
+    let Ok(Ok(_turn)) = turn else {
+        return Err(StateError::Refused("busy"));
+    };
+    patient(|| node.state.txn(txn, STORE)).await
+}
+
 async fn submit(node: &Arc<Node>, id: &str, spec: JobSpec) -> Result<Reply, StateError> {
     let types = node.lock().types.clone();
     let Some(types) = types else {
@@ -259,10 +274,10 @@
         .guard(keys::job(id), 0)
         .guard(keys::final_job(id), 0)
         .change(Change::put(keys::job(id), value));
-    match patient(|| node.state.txn(&txn, STORE)).await? {
+    match user_write(node, &txn).await? {
         TxnOutcome::Committed { revision } => {
             if let Some(tenure) = node.tenure() {
-                node.with_shard(&tenure, |shard, now| {
+                node.with_shard(&tenure, "jobs", |shard, now| {
                     shard.job_put(id, revision, record, now)
                 });
             }
@@ -379,11 +394,11 @@
         let last = FinalRecord::new(Stage::Cancelled, record.spec);
         let txn = facts::end_job(id, item.version, &last)
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
-        match patient(|| node.state.txn(&txn, STORE)).await? {
+        match user_write(node, &txn).await? {
             TxnOutcome::Committed { .. } => {
                 node.ledger.note_final(id, &last);
                 if let Some(tenure) = node.tenure() {
-                    node.with_shard(&tenure, |shard, _| {
+                    node.with_shard(&tenure, "jobs", |shard, _| {
                         shard.job_gone(id, Some(Stage::Cancelled));
                     });
                 }
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -16,31 +16,39 @@
 const LEAST_AGE: Duration = Duration::from_secs(60);
 /// Machines fuller than this are left alone.
 const MOST_FILL: f64 = 0.6;
-/// Machines that are emptied at once. With four, wider hunts showed neither a
-/// better price nor a better score.
-const MOST_AT_ONCE: usize = 1;
+/// One machine in so many is emptied at once, and one at the least. With four
+/// among some thirty, wider hunts showed neither a better price nor a better
+/// score.
+const ONE_IN: usize = 40;
 
 impl Shard {
-    /// Goes on with the machine that services leave, or picks the next one.
+    /// Goes on with the machines that services leave, or picks the next ones.
     /// What else runs on those picked before ends by itself.
     pub(super) fn consolidate(&mut self, bins: &[Bin], now: Instant) {
-        let draining: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| m.draining && !m.deleting)
+        let at_once = 1 + self.machines.len() / ONE_IN;
+        let mut draining = self.machines.ids(|m| m.draining && !m.deleting);
+        let leaving: Vec<MachineId> = draining
+            .iter()
+            .filter(|id| self.machines.get(id).is_some_and(hosts_services))
+            .cloned()
             .collect();
-        if let Some(current) = draining.iter().find(|m| hosts_services(m)) {
-            let id = current.id.clone();
-            self.move_one_service(&id, bins);
-        } else if draining.len() < MOST_AT_ONCE
+        for id in &leaving {
+            self.move_one_service(id, bins, at_once);
+        }
+        let mut picked = false;
+        while draining.len() < at_once
+            && leaving.len() < at_once
             && let Some(id) = self.emptiest(bins, now)
         {
             if let Some(machine) = self.machines.get_mut(&id) {
                 tracing::info!(machine = %id, "emptying a little used machine");
                 machine.draining = true;
             }
-            self.move_one_service(&id, bins);
-        } else if self.policy.holds_capacity() {
+            self.move_one_service(&id, bins, at_once);
+            draining.push(id);
+            picked = true;
+        }
+        if leaving.is_empty() && !picked && self.policy.holds_capacity() {
             self.bring_one_near(bins);
         }
     }
@@ -114,8 +122,8 @@
     }
 
     /// Stops the next service there for which there is room now on a machine
-    /// that holds its image.
-    fn move_one_service(&mut self, id: &MachineId, bins: &[Bin]) {
+    /// that holds its image, unless as many as may be are moving.
+    fn move_one_service(&mut self, id: &MachineId, bins: &[Bin], at_once: usize) {
         let waits = self
             .jobs
             .values()
@@ -123,11 +131,13 @@
         let moving = self
             .machines
             .values()
-            .any(|machine| live_services(machine).any(|(_, a, _)| a.stop.is_some()));
+            .filter(|machine| machine.tally.stopping)
+            .filter(|machine| live_services(machine).any(|(_, a, _)| a.stop.is_some()))
+            .count();
         let Some(machine) = self.machines.get(id) else {
             return;
         };
-        if waits || moving {
+        if waits || moving >= at_once {
             return;
         }
         let next = live_services(machine)
@@ -232,16 +242,17 @@
     }
 
     /// Room that batch work must leave on other machines for the services of
-    /// the one being emptied: the fullest of services first.
+    /// those being emptied: the fullest of services first.
     pub(super) fn reserved_for_moves(&self) -> HashMap<MachineId, Amounts> {
         let mut reserved = HashMap::new();
-        let Some(leaving) = self
+        let mut leaving = self
             .machines
             .values()
-            .find(|m| m.draining && !m.deleting && hosts_services(m))
-        else {
+            .filter(|m| m.draining && !m.deleting && hosts_services(m))
+            .peekable();
+        if leaving.peek().is_none() {
             return reserved;
-        };
+        }
         let mut hosts: Vec<(&Machine, Amounts)> = self
             .machines
             .values()
@@ -249,7 +260,7 @@
             .filter_map(|m| Some((m, self.beside_services(m)?)))
             .collect();
         hosts.sort_by(|a, b| a.1.cores.total_cmp(&b.1.cores).then(a.0.id.cmp(&b.0.id)));
-        for (_, _, spec) in live_services(leaving) {
+        for (_, _, spec) in leaving.flat_map(live_services) {
             let host = hosts
                 .iter_mut()
                 .find(|(host, room)| host.has_image(&spec.image) && room.fits(spec) > 0);
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -16,10 +16,6 @@
 /// Most machines in one deletion request.
 const MOST_PER_DELETION: usize = 100;
 
-/// How long work that can wait may still use costly machines after the last
-/// time that some of it couldn't.
-const PRESSURE: Duration = Duration::from_secs(20);
-
 /// Pause between two plans.
 pub(super) const PLAN_EVERY: Duration = Duration::from_millis(500);
 
@@ -94,17 +90,9 @@
     pub(super) classes: BTreeMap<String, ClassHistory>,
     /// Cheap room that each priority has found lately, in cores.
     pub(super) usual_room: BTreeMap<Priority, f64>,
-    /// When some job last would have started too late on cheap room alone.
-    pub(super) pressed: Option<Instant>,
 }
 
 impl Fleet {
-    /// Whether work lately couldn't wait for cheap room alone.
-    pub fn under_pressure(&self, now: Instant) -> bool {
-        self.pressed
-            .is_some_and(|at| now.saturating_duration_since(at) < PRESSURE)
-    }
-
     /// Remembers a job that was accepted at a moment not long before `now`.
     pub fn note_arrival(&mut self, spec: &JobSpec, at: Instant, now: Instant) {
         let history = self
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -38,6 +38,8 @@
     /// Its final state, if it is over.
     pub over: Option<Stage>,
     pub finish_sent: bool,
+    /// Some of its tasks can't wait for cheap room alone.
+    pub pressed: bool,
     /// Where to look first for a task that waits.
     cursor: u32,
 }
@@ -58,6 +60,7 @@
             ran: RunTimes::default(),
             over: None,
             finish_sent: false,
+            pressed: false,
             cursor: 0,
         }
     }
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -16,6 +16,8 @@
 const SEED_FROM: u32 = 8;
 /// Tasks of one job placed before its team's turn ends.
 const BLOCK: usize = 4;
+/// Tasks placed in one pass.
+const MOST_PLACED: usize = 256;
 const SLACK: f64 = 1e-6;
 
 /// A machine that may get tasks, as a placement pass sees it.
@@ -185,7 +187,6 @@
 
     fn open_slots(&self, now: Instant) -> Vec<Slot> {
         let reserved = self.reserved_for_moves();
-        let pressed = self.fleet.under_pressure(now);
         self.machines
             .values()
             .filter(|m| m.open(now, self.policy.suspect))
@@ -196,7 +197,7 @@
                     machine_type: m.machine_type.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
-                    costly: !pressed && self.costly(m, now),
+                    costly: self.costly(m, now),
                     free: m.free(kind),
                     reserved: reserved.get(&m.id).copied().unwrap_or_default(),
                 })
@@ -233,6 +234,7 @@
             images: HashMap::new(),
         };
         let mut stuck = Vec::new();
+        let mut placed_in_all = 0;
         let wall = self.wall_ms(now);
         for (_, teams) in levels {
             let mut queues: HashMap<String, VecDeque<JobId>> = teams
@@ -251,6 +253,12 @@
                     continue;
                 };
                 let placed = self.place_some(&id, &mut pass, now);
+                placed_in_all += placed;
+                if placed_in_all >= MOST_PLACED {
+                    // Reports and renewals come first; the next pass goes on.
+                    self.restless = true;
+                    return;
+                }
                 let left = self.jobs.get(&id).map_or(0, Job::waiting);
                 if placed == 0 || left == 0 {
                     queue.pop_front();
@@ -468,7 +476,7 @@
 
     /// Work that may run on spot machines waits for them while it has time.
     pub(super) fn worth_it(&self, job: &Job, slot: &Slot) -> bool {
-        !slot.costly || !job.spec.spot || job.spec.kind == JobKind::Standing
+        !slot.costly || !job.spec.spot || job.spec.kind == JobKind::Standing || job.pressed
     }
 
     /// How many tasks of a job may exist in each zone.
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -113,7 +113,6 @@
         let mut bins = self.bins(now);
         self.note_room(&bins);
         let demands = self.demands(&bins, now);
-        let pressed = self.fleet.under_pressure(now);
         let mut wanted: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
         // How many machines of a type are in a zone already.
         let mut crowds: HashMap<(&str, &str), f64> = HashMap::new();
@@ -137,7 +136,7 @@
                 if left == 0 {
                     break;
                 }
-                let too_costly = bin.costly && !pressed && demand.offers == Offers::SpotOnly;
+                let too_costly = bin.costly && demand.offers == Offers::SpotOnly;
                 if too_costly || !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
@@ -275,7 +274,7 @@
     /// What waits, what is likely to come, and what is guaranteed.
     fn demands(&mut self, bins: &[Bin], now: Instant) -> Vec<Demand> {
         let mut demands = Vec::new();
-        let mut pressed = false;
+        let mut pressed = Vec::new();
         let wall = self.wall_ms(now);
         let used = self.usage();
         let mut usage = used.clone();
@@ -303,7 +302,9 @@
                 queued += f64::from(count) * job.spec.cores * job.spec.duration_s;
             }
             let cheap = self.usual_room(&job.spec, bins.iter().filter(|bin| !bin.costly));
-            pressed |= self.urgent(job, count, queued, cheap, wall) > 0;
+            if self.urgent(job, count, queued, cheap, wall) > 0 {
+                pressed.push(job.id.clone());
+            }
             let costly = room(&job.spec, bins.iter().filter(|bin| bin.costly));
             let urgent = self.urgent(job, count, queued, cheap + costly, wall);
             for (count, offers) in [(urgent, Offers::Any), (count - urgent, Offers::SpotOnly)] {
@@ -320,8 +321,13 @@
         }
         self.foreseen(&mut demands, now);
         self.guaranteed(&mut demands, &used);
-        if pressed {
-            self.fleet.pressed = Some(now);
+        for job in self.jobs.values_mut() {
+            job.pressed = false;
+        }
+        for id in pressed {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.pressed = true;
+            }
         }
         demands
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,4 +1,9 @@
-//! Logging to standard error, with the level taken from `LOG_LEVEL`.
+//! Logging to standard error, with the level taken from `LOG_LEVEL`, and what
+//! the processor's time goes into.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
 
 use tracing_subscriber::filter::{LevelFilter, Targets};
 use tracing_subscriber::layer::SubscriberExt;
@@ -25,3 +30,26 @@
         .with(filter)
         .try_init();
 }
+
+/// Time spent in each activity since the start.
+#[derive(Debug, Default)]
+pub struct Activities(BTreeMap<&'static str, (u64, Duration)>);
+
+impl Activities {
+    pub fn note(&mut self, activity: &'static str, took: Duration) {
+        let (count, total) = self.0.entry(activity).or_default();
+        *count += 1;
+        *total += took;
+    }
+}
+
+impl fmt::Display for Activities {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, (activity, (count, total))) in self.0.iter().enumerate() {
+            let comma = if at > 0 { ", " } else { "" };
+            let millis = total.as_millis();
+            write!(f, "{comma}{activity} {count} in {millis} ms")?;
+        }
+        Ok(())
+    }
+}
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -44,14 +44,14 @@
         Self::keeping(Duration::from_secs(30))
     }
 
-    /// A client that keeps unused connections for so long.
+    /// A client that keeps unused connections for so long, if at all.
     pub fn keeping(idle: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(idle)
-            .pool_max_idle_per_host(4)
+            .pool_max_idle_per_host(if idle.is_zero() { 0 } else { 4 })
             .pool_timer(TokioTimer::new())
             .build(connector);
         Self { client }
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -95,7 +95,8 @@
     let now = node.now();
     node.lock().workers.insert(report.machine.clone(), now);
     let answered = node.live_tenure().and_then(|tenure| {
-        let outcome = node.with_shard(&tenure, |shard, now| shard.report(&report, now))?;
+        let outcome =
+            node.with_shard(&tenure, "reports", |shard, now| shard.report(&report, now))?;
         // The shard took a moment: only a tenure that still holds may answer.
         (tenure.live(node.now())).then_some((tenure.term, outcome))
     });
