Connections on which nothing comes are closed; emptying machines costs less

Looking for the next machine to empty was quadratic in machines. Ruled out: too many machines at once.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -31,6 +31,8 @@
 /// How long an unused connection to a worker is kept: there are many workers,
 /// each with a connection of its own to us as well.
 const WORKER_IDLE: Duration = Duration::from_secs(5);
+/// Pauses between reports after which a silent connection to us is closed.
+const IDLE_REPORTS: u32 = 5;
 /// Batches of commands under way at once; more wait for their turn.
 const MOST_COMMANDS: usize = 128;
 /// Probes under way at once. They have a limit of their own: silent machines
@@ -205,7 +207,7 @@
     pub fn workers_http(&self) -> &HttpClient {
         let sockets = self.settings.platform.settings.resources.max_connections;
         let workers = self.lock().workers.len();
-        if workers * 2 > sockets * FRONT_SHARE / 100 {
+        if workers * 3 > sockets {
             &self.workers_once
         } else {
             &self.workers_kept
@@ -369,8 +371,10 @@
     tokio::spawn(peering::pulse(node.clone()));
     tokio::spawn(ownership::seek_ownership(node.clone()));
     let sockets = platform.settings.resources.max_connections;
-    let front_listener = Limited::new(front_listener, sockets * FRONT_SHARE / 100);
-    let internal_listener = Limited::new(internal_listener, sockets * INTERNAL_SHARE / 100);
+    let idle = platform.settings.workers.report() * IDLE_REPORTS;
+    let limited = |listener, share| Limited::new(listener, sockets * share / 100, idle);
+    let front_listener = limited(front_listener, FRONT_SHARE);
+    let internal_listener = limited(internal_listener, INTERNAL_SHARE);
     let front = axum::serve(front_listener, front::router(node.clone()));
     let internal = axum::serve(internal_listener, internal::router(node.clone()));
     tokio::try_join!(front.into_future(), internal.into_future())
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -337,7 +337,8 @@
         let begun = node.now();
         let ticks = begun >= next_tick;
         if tenure.live(begun) {
-            node.with_shard(tenure, "passes", |shard, now| {
+            let activity = if ticks { "ticks" } else { "passes" };
+            node.with_shard(tenure, activity, |shard, now| {
                 if ticks {
                     shard.tick(now);
                 } else {
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -8,7 +8,7 @@
 use super::machines::Amounts;
 use super::placement::allowed;
 use super::plan::Bin;
-use super::{Attempt, Machine, Phase, Shard};
+use super::{Attempt, Job, Machine, Phase, Shard};
 use crate::protocol::users::{JobKind, JobSpec};
 use crate::protocol::{MachineId, TaskId};
 
@@ -20,35 +20,33 @@
 /// among some thirty, wider hunts showed neither a better price nor a better
 /// score.
 const ONE_IN: usize = 40;
+/// Machines looked at beyond those that may be emptied.
+const CANDIDATES: usize = 8;
 
 impl Shard {
     /// Goes on with the machines that services leave, or picks the next ones.
     /// What else runs on those picked before ends by itself.
     pub(super) fn consolidate(&mut self, bins: &[Bin], now: Instant) {
         let at_once = 1 + self.machines.len() / ONE_IN;
-        let mut draining = self.machines.ids(|m| m.draining && !m.deleting);
-        let leaving: Vec<MachineId> = draining
+        let draining = self.machines.ids(|m| m.draining && !m.deleting);
+        let mut leaving: Vec<MachineId> = draining
             .iter()
             .filter(|id| self.machines.get(id).is_some_and(hosts_services))
             .cloned()
             .collect();
-        for id in &leaving {
-            self.move_one_service(id, bins, at_once);
-        }
-        let mut picked = false;
-        while draining.len() < at_once
-            && leaving.len() < at_once
-            && let Some(id) = self.emptiest(bins, now)
-        {
+        let idle = leaving.is_empty();
+        let more = at_once.saturating_sub(draining.len());
+        for id in self.emptiest(bins, more, now) {
             if let Some(machine) = self.machines.get_mut(&id) {
                 tracing::info!(machine = %id, "emptying a little used machine");
                 machine.draining = true;
+                leaving.push(id);
             }
-            self.move_one_service(&id, bins, at_once);
-            draining.push(id);
-            picked = true;
         }
-        if leaving.is_empty() && !picked && self.policy.holds_capacity() {
+        for (id, key) in self.next_moves(&leaving, at_once, bins) {
+            self.stop_service(&id, &key);
+        }
+        if idle && leaving.is_empty() && self.policy.holds_capacity() {
             self.bring_one_near(bins);
         }
     }
@@ -121,48 +119,53 @@
         any
     }
 
-    /// Stops the next service there for which there is room now on a machine
-    /// that holds its image, unless as many as may be are moving.
-    fn move_one_service(&mut self, id: &MachineId, bins: &[Bin], at_once: usize) {
-        let waits = self
-            .jobs
-            .values()
-            .any(|job| job.spec.kind == JobKind::Standing && job.waiting() > 0);
+    /// The next service of each machine being emptied for which there is room
+    /// now on a machine that holds its image; none while services wait, and few
+    /// at a time.
+    fn next_moves(
+        &self,
+        leaving: &[MachineId],
+        at_once: usize,
+        bins: &[Bin],
+    ) -> Vec<(MachineId, (TaskId, u64))> {
+        let waits = |job: &Job| job.spec.kind == JobKind::Standing && job.waiting() > 0;
         let moving = self
             .machines
             .values()
             .filter(|machine| machine.tally.stopping)
             .filter(|machine| live_services(machine).any(|(_, a, _)| a.stop.is_some()))
             .count();
-        let Some(machine) = self.machines.get(id) else {
-            return;
-        };
-        if waits || moving >= at_once {
-            return;
+        if leaving.is_empty() || moving >= at_once || self.jobs.values().any(waits) {
+            return Vec::new();
         }
-        let next = live_services(machine)
-            .find(|(_, _, spec)| {
-                bins.iter().any(|bin| {
-                    bin.machine.as_ref() != Some(id)
-                        && self.is_open_holder(bin, &spec.image)
-                        && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
-                        && bin
-                            .machine
-                            .as_ref()
-                            .and_then(|id| self.free_now(id))
-                            .is_some_and(|free| free.fits(spec) > 0)
-                })
+        let mut hosts: Vec<(&Bin, &Machine, Amounts)> = bins
+            .iter()
+            .filter(|bin| bin.rank < 2)
+            .filter_map(|bin| {
+                let machine = self.machines.get(bin.machine.as_ref()?)?;
+                let kind = self.types.get(&*machine.machine_type)?;
+                (!machine.draining).then(|| (bin, machine, machine.free(kind)))
             })
-            .map(|(key, ..)| key.clone());
-        if let Some(key) = next {
-            self.stop_service(id, &key);
+            .collect();
+        let mut moves = Vec::new();
+        for machine in leaving.iter().filter_map(|id| self.machines.get(id)) {
+            if moving + moves.len() >= at_once {
+                break;
+            }
+            for (key, _, spec) in live_services(machine) {
+                let host = hosts.iter_mut().find(|(bin, host, free)| {
+                    free.fits(spec) > 0
+                        && host.has_image(&spec.image)
+                        && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+                });
+                if let Some((_, _, free)) = host {
+                    free.take(spec);
+                    moves.push((machine.id.clone(), key.clone()));
+                    break;
+                }
+            }
         }
-    }
-
-    fn free_now(&self, id: &MachineId) -> Option<Amounts> {
-        let machine = self.machines.get(id)?;
-        let kind = self.types.get(&*machine.machine_type)?;
-        Some(machine.free(kind))
+        moves
     }
 
     /// What a machine has beside its services: batch work on it ends.
@@ -179,10 +182,10 @@
         Some(room)
     }
 
-    /// The machine that is worth most to empty, if its services fit beside
+    /// The machines that are worth most to empty, if their services fit beside
     /// those of others.
-    fn emptiest(&self, bins: &[Bin], now: Instant) -> Option<MachineId> {
-        let mut best: Option<(f64, MachineId)> = None;
+    fn emptiest(&self, bins: &[Bin], most: usize, now: Instant) -> Vec<MachineId> {
+        let mut worth: Vec<(f64, &Machine)> = Vec::new();
         for bin in bins.iter().filter(|bin| !bin.used && bin.rank < 2) {
             let Some(machine) = bin.machine.as_ref().and_then(|id| self.machines.get(id)) else {
                 continue;
@@ -196,49 +199,67 @@
             let fill = 1.0 - room.cores / kind.cores.max(1e-9);
             let settled = machine.open(now, self.policy.suspect)
                 && now.saturating_duration_since(machine.rented) >= LEAST_AGE;
-            if !settled || machine.spot || machine.tally.idle() || fill > MOST_FILL {
-                continue;
+            if settled && !machine.spot && !machine.tally.idle() && fill <= MOST_FILL {
+                worth.push((kind.price * (1.0 - fill), machine));
             }
-            let waste = kind.price * (1.0 - fill);
-            if best.as_ref().is_none_or(|(most, _)| waste > *most)
-                && self.fits_elsewhere(machine, bins)
-            {
-                best = Some((waste, machine.id.clone()));
+        }
+        if most == 0 || worth.is_empty() {
+            return Vec::new();
+        }
+        worth.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut rooms = self.rooms_for_services(bins);
+        let mut picked = Vec::new();
+        for (_, machine) in worth.into_iter().take(most + CANDIDATES) {
+            if picked.len() < most && self.move_into(machine, &mut rooms) {
+                picked.push(machine.id.clone());
             }
         }
-        best.map(|(_, id)| id)
+        picked
     }
 
-    fn fits_elsewhere(&self, machine: &Machine, bins: &[Bin]) -> bool {
-        let mut rooms: Vec<_> = bins
-            .iter()
-            .filter(|bin| bin.rank == 0 && bin.machine.as_ref() != Some(&machine.id))
+    /// The machines that services could move to, and the room that they have.
+    fn rooms_for_services<'a>(&'a self, bins: &'a [Bin]) -> Vec<Room<'a>> {
+        bins.iter()
+            .filter(|bin| bin.rank == 0)
             .filter_map(|bin| {
-                let other = self.machines.get(bin.machine.as_ref()?)?;
+                let machine = self.machines.get(bin.machine.as_ref()?)?;
                 // Where capacity is held, what runs beside services stays.
-                let room = if self.policy.holds_capacity() {
+                let free = if self.policy.holds_capacity() {
                     bin.free
                 } else {
-                    self.beside_services(other)?
+                    self.beside_services(machine)?
                 };
-                Some((bin, other, room))
+                let hosts = hosts_services(machine) && !machine.draining;
+                hosts.then_some(Room { bin, machine, free })
             })
-            .collect();
-        live_services(machine).all(|(_, _, spec)| {
-            let room = rooms.iter_mut().find(|(bin, other, room)| {
-                other.has_image(&spec.image)
-                    && hosts_services(other)
-                    && room.fits(spec) > 0
-                    && allowed(spec, &bin.machine_type, &bin.zone, bin.spot)
+            .collect()
+    }
+
+    /// Takes the room for all services of a machine, which then is none itself;
+    /// false, and nothing taken, if they don't all fit.
+    fn move_into(&self, leaving: &Machine, rooms: &mut Vec<Room>) -> bool {
+        let mut taken: Vec<(usize, &JobSpec)> = Vec::new();
+        let fits = live_services(leaving).all(|(_, _, spec)| {
+            let room = rooms.iter().position(|room| {
+                room.machine.id != leaving.id
+                    && room.free.fits(spec) > 0
+                    && room.machine.has_image(&spec.image)
+                    && allowed(spec, &room.bin.machine_type, &room.bin.zone, room.bin.spot)
             });
-            match room {
-                Some((_, _, room)) => {
-                    room.take(spec);
-                    true
-                }
-                None => false,
+            if let Some(at) = room {
+                rooms[at].free.take(spec);
+                taken.push((at, spec));
+            }
+            room.is_some()
+        });
+        if fits {
+            rooms.retain(|room| room.machine.id != leaving.id);
+        } else {
+            for (at, spec) in taken {
+                rooms[at].free.give(spec);
             }
-        })
+        }
+        fits
     }
 
     /// Room that batch work must leave on other machines for the services of
@@ -276,6 +297,13 @@
     }
 }
 
+/// Where services could move to.
+struct Room<'a> {
+    bin: &'a Bin,
+    machine: &'a Machine,
+    free: Amounts,
+}
+
 /// The services that may be on a machine.
 fn live_services(
     machine: &Machine,
--- a/src/transport/limit.rs
+++ b/src/transport/limit.rs
@@ -1,28 +1,35 @@
 //! A listener that keeps a server's connections within their share of the
 //! sockets. When all are taken it doesn't accept, so that the balancer goes on
-//! to the next controller.
+//! to the next controller. Connections on which nothing comes for long are
+//! closed: a machine that is gone says no goodbye, and each would keep its
+//! socket for ever.
 
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use axum::serve::Listener;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Sleep;
 
 /// Accepts at most a number of connections at a time.
 pub struct Limited {
     listener: TcpListener,
     free: Arc<Semaphore>,
+    idle: Duration,
 }
 
 impl Limited {
-    pub fn new(listener: TcpListener, most: usize) -> Self {
+    /// At most so many connections, each closed after being idle for so long.
+    pub fn new(listener: TcpListener, most: usize, idle: Duration) -> Self {
         Self {
             listener,
+            idle,
             free: Arc::new(Semaphore::new(most.max(1))),
         }
     }
@@ -41,6 +48,9 @@
         let _ = stream.set_nodelay(true);
         let counted = Counted {
             stream,
+            idle: self.idle,
+            heard: Instant::now(),
+            check: Box::pin(tokio::time::sleep(self.idle)),
             _permit: permit,
         };
         (counted, addr)
@@ -54,6 +64,11 @@
 /// A connection that counts until it is closed.
 pub struct Counted {
     stream: TcpStream,
+    idle: Duration,
+    /// When something was last read.
+    heard: Instant,
+    /// When to look whether it has been idle for too long.
+    check: Pin<Box<Sleep>>,
     _permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -63,7 +78,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if let Poll::Ready(result) = Pin::new(&mut self.stream).poll_read(cx, buf) {
+            self.heard = Instant::now();
+            return Poll::Ready(result);
+        }
+        loop {
+            ready!(self.check.as_mut().poll(cx));
+            let left = self.idle.saturating_sub(self.heard.elapsed());
+            if left.is_zero() {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            self.check.set(tokio::time::sleep(left));
+        }
     }
 }
 
@@ -99,15 +125,36 @@
 
 #[cfg(test)]
 mod tests {
-    use std::time::Duration;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     use super::*;
 
+    /// Found at full size: the connections of deleted machines took all sockets.
+    #[tokio::test]
+    async fn a_connection_on_which_nothing_comes_gives_its_place_back() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let idle = Duration::from_millis(80);
+        let mut limited = Limited::new(listener, 1, idle);
+        let mut gone = TcpStream::connect(addr).await.expect("connects");
+        let (mut held, _) = limited.accept().await;
+        let begun = Instant::now();
+        gone.write_all(b"x").await.expect("writes");
+        let mut byte = [0];
+        held.read_exact(&mut byte).await.expect("reads");
+        let error = held.read_exact(&mut byte).await.expect_err("idle");
+        assert_eq!(error.kind(), io::ErrorKind::TimedOut);
+        assert!(begun.elapsed() >= idle);
+        drop(held);
+        let _next = TcpStream::connect(addr).await.expect("connects");
+        limited.accept().await;
+    }
+
     #[tokio::test]
     async fn a_further_connection_waits_until_one_is_closed() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("an address");
-        let mut limited = Limited::new(listener, 1);
+        let mut limited = Limited::new(listener, 1, Duration::from_secs(60));
         let _first = TcpStream::connect(addr).await.expect("connects");
         let (held, _) = limited.accept().await;
         let _second = TcpStream::connect(addr)
