Choosing a machine costs a fraction, and passes rest longer

Cause: the shard's passes took 5 to 14 % of a core of 20 %, most of it in looking up images and types for every pair of task and machine.

--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -20,10 +20,10 @@
 /// Longest pause between two looks at the timers, however long one takes.
 const LONGEST_TICK: Duration = Duration::from_secs(1);
 /// Rest after a pass, in times of what it took.
-const PASS_REST: u32 = 3;
+const PASS_REST: u32 = 20;
 /// Shortest and longest rest.
 const SHORTEST_REST: Duration = Duration::from_millis(10);
-const LONGEST_REST: Duration = Duration::from_millis(150);
+const LONGEST_REST: Duration = Duration::from_millis(250);
 /// Pause between two summaries in the log.
 const SUMMARY: Duration = Duration::from_secs(30);
 /// How long one watch waits.
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -90,6 +90,9 @@
     }
 }
 
+/// What sums of amounts may be off by.
+const SLACK: f64 = 1e-9;
+
 /// What a machine can hold or what is held on it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Amounts {
@@ -143,9 +146,16 @@
         }
     }
 
+    /// Whether a task of a job fits.
+    pub fn holds(&self, spec: &JobSpec) -> bool {
+        let fits = |have: f64, need: f64| need <= 0.0 || have + SLACK >= need;
+        fits(self.cores, spec.cores)
+            && fits(self.accelerators, spec.accelerators)
+            && fits(self.mem_gb, spec.mem_gb)
+    }
+
     /// How many tasks of a job fit.
     pub fn fits(&self, spec: &JobSpec) -> u32 {
-        const SLACK: f64 = 1e-9;
         let ratio = |have: f64, need: f64| {
             if need <= 0.0 {
                 f64::INFINITY
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::machines::Amounts;
 use super::{Attempt, Job, Machine, Phase, Shard};
@@ -43,7 +43,7 @@
             free.accelerators -= self.reserved.accelerators;
             free.mem_gb -= self.reserved.mem_gb;
         }
-        free.fits(spec) > 0
+        free.holds(spec)
     }
 }
 
@@ -88,12 +88,14 @@
 }
 
 impl Pass {
+    /// What each slot's machine has of a job's image, once looked for.
+    fn holdings(&self, spec: &JobSpec) -> &[Holding] {
+        self.images.get(&spec.image).map_or(&[], Vec::as_slice)
+    }
+
     fn holding(&self, spec: &JobSpec, at: usize) -> Holding {
-        self.images
-            .get(&spec.image)
-            .and_then(|holdings| holdings.get(at))
-            .copied()
-            .unwrap_or(Holding::Nothing)
+        let holding = self.holdings(spec).get(at).copied();
+        holding.unwrap_or(Holding::Nothing)
     }
 
     /// A task was placed on a slot.
@@ -397,6 +399,8 @@
             JobKind::Standing => self.main_zone.as_deref(),
             JobKind::Batch => None,
         };
+        let within = self.policy.wait_within.get(&spec.class).copied();
+        let holdings = pass.holdings(spec);
         let mut best: Option<(Rank, usize)> = None;
         for (at, slot) in pass.slots.iter().enumerate() {
             let fits = slot.fits(spec)
@@ -408,11 +412,11 @@
             if !fits {
                 continue;
             }
-            let lacks = pass.holding(spec, at) < enough;
+            let lacks = holdings.get(at).is_none_or(|holding| *holding < enough);
             let rank = Rank {
                 flags: [
                     lacks,
-                    lacks && self.fetch_is_late(spec, slot),
+                    lacks && within.is_some_and(|within| self.fetch_takes(spec, slot, within)),
                     near.is_some_and(|zone| *zone != *slot.zone),
                     slot.costly,
                     !slot.spot,
@@ -462,16 +466,15 @@
     /// Whether fetching a job's image there takes longer than a good wait.
     fn fetch_is_late(&self, spec: &JobSpec, slot: &Slot) -> bool {
         let within = self.policy.wait_within.get(&spec.class);
-        let rate = self
-            .types
-            .get(&*slot.machine_type)
-            .map(|kind| kind.fetch_gb_per_s);
-        match (within, rate) {
-            (Some(within), Some(rate)) if rate > 0.0 => {
-                spec.image_gb / rate * FETCH_MARGIN > within.as_secs_f64()
-            }
-            _ => false,
-        }
+        within.is_some_and(|within| self.fetch_takes(spec, slot, *within))
+    }
+
+    /// Whether fetching a job's image there may take longer than that.
+    fn fetch_takes(&self, spec: &JobSpec, slot: &Slot, longest: Duration) -> bool {
+        self.types.get(&*slot.machine_type).is_some_and(|kind| {
+            kind.fetch_gb_per_s > 0.0
+                && spec.image_gb / kind.fetch_gb_per_s * FETCH_MARGIN > longest.as_secs_f64()
+        })
     }
 
     /// Work that may run on spot machines waits for them while it has time.
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -53,6 +53,12 @@
 }
 
 impl Bin {
+    /// Whether a task fits as it is or if something gives way.
+    fn could_hold(&self, spec: &JobSpec) -> bool {
+        let gives_way = |tasks: &Yielding| tasks.spec.priority < spec.priority;
+        self.free.holds(spec) || self.yielding.first().is_some_and(gives_way)
+    }
+
     /// Counts what gives way as free, as far as some tasks of a job need it.
     fn make_room(&mut self, spec: &JobSpec, tasks: u32) {
         while self.free.fits(spec) < tasks {
@@ -140,6 +146,9 @@
                 if too_costly || !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
+                if !bin.could_hold(&demand.spec) {
+                    continue;
+                }
                 bin.make_room(&demand.spec, left);
                 let mut n = bin.free.fits(&demand.spec).min(left);
                 if demand.spec.scatter && demand.one_job {
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -73,7 +73,7 @@
             }
             let machine = self.machines.get(&slot.id)?;
             let tally = &machine.tally;
-            let room = slot.free.fits(spec) > 0 || tally.stopping;
+            let room = slot.free.holds(spec) || tally.stopping;
             if !(room || guaranteed || tally.has_lesser(spec.priority)) {
                 continue;
             }
@@ -89,14 +89,14 @@
                     candidates.push((other.priority, harm(attempt, now), key, attempt));
                 }
             }
-            if free.fits(spec) > 0 {
+            if free.holds(spec) {
                 return Some((slot.id.clone(), Vec::new()));
             }
             candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
             let mut cost = Duration::ZERO;
             let mut victims = Vec::new();
             for (_, lost, key, attempt) in candidates {
-                if free.fits(spec) > 0 {
+                if free.holds(spec) {
                     break;
                 }
                 if let Some(other) = &attempt.spec {
@@ -105,7 +105,7 @@
                     victims.push(key.clone());
                 }
             }
-            if free.fits(spec) > 0 && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            if free.holds(spec) && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, slot.id.clone(), victims));
             }
         }
