Workers that a cut hides from the owner are kept by a controller that hears them

Cause: on a cut between zones all machines on the owner's far side were deleted as silent or lost their leases, and services that must be in two zones could not start again. The owner now lends their keeping: the other controller answers with the owner's term and no commands. Ruled out: starting elsewhere (Scatter forbids it), longer patience alone (the leases end).

--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -11,6 +11,10 @@
 /// Drift of steady clocks to reckon with, both ways together.
 const DRIFT: f64 = 0.002;
 
+/// How long a keeper may answer workers after it asked the state service
+/// whether the owner lends it that.
+pub const KEEPING: Duration = Duration::from_secs(2);
+
 /// One term of ownership.
 ///
 /// An owner acts only while [`Tenure::live`]: until its deadline, which runs
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -104,6 +104,9 @@
     pub previous_run_ended: bool,
     /// Until when this node has promised to leave the shard to its owner.
     pub promised_until: Option<Instant>,
+    /// The owner's term under which this node may answer workers that the
+    /// owner can't hear, and until when.
+    pub keeping: Option<(u64, Instant)>,
     /// Until when this node should rather not own the shard.
     pub deaf_until: Option<Instant>,
 }
@@ -221,6 +224,14 @@
         tenure.live(self.now()).then(|| tenure.clone())
     }
 
+    /// The term under which this node may keep a worker for the owner, if the
+    /// worker would take it.
+    pub fn keeps(&self, seen_term: u64) -> Option<u64> {
+        let now = self.now();
+        let (term, until) = self.lock().keeping?;
+        (now < until && seen_term <= term).then_some(term)
+    }
+
     /// The tenure of this node, live or not.
     pub fn tenure(&self) -> Option<Arc<Tenure>> {
         self.lock().ownership.as_ref().map(|own| own.tenure.clone())
@@ -369,6 +380,7 @@
     );
     tokio::spawn(keep_types(node.clone()));
     tokio::spawn(peering::pulse(node.clone()));
+    tokio::spawn(peering::keep_workers(node.clone()));
     tokio::spawn(ownership::seek_ownership(node.clone()));
     let sockets = platform.settings.resources.max_connections;
     let idle = platform.settings.workers.report() * IDLE_REPORTS;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -79,11 +79,8 @@
                     return Ok(());
                 }
                 tokio::time::sleep(delay).await;
-                let (items, _) = node
-                    .state
-                    .list(&keys::owner_prefix(), STATE_DEADLINE)
-                    .await?;
-                if items.is_empty() {
+                let owner = node.state.get(&keys::owner(), STATE_DEADLINE).await?;
+                if owner.is_none() {
                     return Ok(());
                 }
             }
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -1,11 +1,12 @@
 //! What controllers tell one another, and what follows from it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Method;
 
+use super::lease::KEEPING;
 use super::node::{Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
 use crate::protocol::peers::{
@@ -14,7 +15,7 @@
 use crate::protocol::state::{Change, Txn};
 use crate::settings::platform::Peer;
 use crate::storage::keys;
-use crate::storage::records::{HearingRecord, VERSION};
+use crate::storage::records::{HearingRecord, KeeperRecord, VERSION};
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
@@ -25,11 +26,19 @@
 const DEAF_ROUNDS: u32 = 2;
 /// How long an owner stays at the least before it hands over to a nearer one.
 const LEAST_TENURE: Duration = Duration::from_secs(6);
+/// How long it stays while work waits: a change of owners makes it wait longer.
+const LONGEST_BUSY: Duration = Duration::from_secs(60);
 /// How long a new owner listens before it may call itself deaf: every machine
 /// was asked for a report at once.
 const LISTENING: Duration = Duration::from_secs(2);
 /// A peer's pulse older than this means that it can't be reached.
 const PULSE_FRESH: Duration = Duration::from_secs(3);
+/// A peer's pulse older than this, two rounds, means that it may be cut off.
+const PULSE_LATE: Duration = Duration::from_millis(2200);
+/// Pause between a keeper's looks at its loan.
+const KEEPING_LOOK: Duration = Duration::from_millis(500);
+/// How long before its time a keeper stops, to cover a busy processor.
+const KEEPING_MARGIN: Duration = Duration::from_millis(100);
 /// Age up to which a hearing record counts.
 const HEARING_FRESH_MS: u64 = 5000;
 /// How long a node that couldn't hear the workers leaves the shard to others.
@@ -192,6 +201,7 @@
         });
         tokio::time::sleep(ROUND).await;
         tell_hearing(&node).await;
+        lend_and_recall(&node).await;
         deaf = if is_deaf(&node).await { deaf + 1 } else { 0 };
         let Some(tenure) = node.tenure() else {
             continue;
@@ -254,22 +264,7 @@
 /// Zones may be cut from one another while the state service reaches both:
 /// a controller that hears workers but not the owner says so there.
 async fn tell_hearing(node: &Arc<Node>) {
-    let now = node.now();
-    let workers = {
-        let inner = node.lock();
-        let owner = inner.seen_owner.as_ref().map(|owner| &owner.label);
-        let Some(owner) = owner.filter(|label| *label != node.label()) else {
-            return;
-        };
-        let reachable = inner
-            .peers
-            .get(owner)
-            .is_some_and(|view| now.saturating_duration_since(view.at) < PULSE_FRESH);
-        if reachable || inner.ownership.is_some() {
-            return;
-        }
-        inner.workers.len() as u32
-    };
+    let workers = heard_without_owner(node);
     if workers == 0 || node.state_lost() {
         return;
     }
@@ -285,24 +280,139 @@
     }
 }
 
-/// Workers heard by the controller that hears most of them, by their records.
-async fn heard_elsewhere(node: &Node) -> usize {
-    let Ok((items, _)) = node
-        .state
-        .list(&keys::hearing_prefix(), STATE_DEADLINE)
-        .await
-    else {
+/// How many workers come to this node while it can't reach the owner.
+fn heard_without_owner(node: &Node) -> u32 {
+    let now = node.now();
+    let inner = node.lock();
+    let owner = inner.seen_owner.as_ref().map(|owner| &owner.label);
+    let Some(owner) = owner.filter(|label| *label != node.label()) else {
         return 0;
     };
+    let reachable = inner
+        .peers
+        .get(owner)
+        .is_some_and(|view| now.saturating_duration_since(view.at) < PULSE_FRESH);
+    if reachable || inner.ownership.is_some() {
+        return 0;
+    }
+    inner.workers.len() as u32
+}
+
+/// The other controllers that say in the state service that they hear workers
+/// but not the owner, and how many. None if the service doesn't answer.
+async fn heard_elsewhere(node: &Node) -> Option<BTreeMap<String, usize>> {
+    let prefix = keys::hearing_prefix();
+    let (items, _) = node.state.list(&prefix, STATE_DEADLINE).await.ok()?;
     let wall = node.clock.wall_ms();
-    items
-        .into_iter()
-        .filter(|item| item.key != keys::hearing(node.label()))
-        .filter_map(|item| serde_json::from_value::<HearingRecord>(item.value).ok())
-        .filter(|record| wall.abs_diff(record.at_ms) < HEARING_FRESH_MS)
-        .map(|record| record.workers as usize)
-        .max()
-        .unwrap_or(0)
+    let heard = items.into_iter().filter_map(|item| {
+        let label = item.key.strip_prefix(&prefix)?.to_owned();
+        let record: HearingRecord = serde_json::from_value(item.value).ok()?;
+        let fresh = wall.abs_diff(record.at_ms) < HEARING_FRESH_MS;
+        (fresh && label != node.label()).then_some((label, record.workers as usize))
+    });
+    Some(heard.collect())
+}
+
+/// The owner lends the keeping of workers to controllers that it can't reach
+/// but that hear them, and recalls it when it can.
+async fn lend_and_recall(node: &Arc<Node>) {
+    let now = node.now();
+    let unreached: BTreeSet<String> = {
+        let inner = node.lock();
+        let Some(own) = inner.ownership.as_ref().filter(|own| own.tenure.live(now)) else {
+            return;
+        };
+        if now.saturating_duration_since(own.tenure.since) < LISTENING {
+            return;
+        }
+        let silent = |peer: &&Peer| {
+            inner
+                .peers
+                .get(&peer.label)
+                .is_none_or(|view| now.saturating_duration_since(view.at) > PULSE_LATE)
+        };
+        let others = node.settings.platform.others.iter();
+        others
+            .filter(silent)
+            .map(|peer| peer.label.clone())
+            .collect()
+    };
+    let Some(tenure) = node.live_tenure() else {
+        return;
+    };
+    let zones = zones_of(node, &unreached);
+    node.with_shard(&tenure, "loans", |shard, _| {
+        shard.set_cut_off(zones);
+        for label in shard.keepers() {
+            if !unreached.contains(&label) {
+                shard.recall(&label);
+            }
+        }
+    });
+    if unreached.is_empty() {
+        return;
+    }
+    let Some(heard) = heard_elsewhere(node).await else {
+        return;
+    };
+    node.with_shard(&tenure, "loans", |shard, _| {
+        for label in shard.keepers() {
+            if !heard.contains_key(&label) {
+                shard.recall(&label);
+            }
+        }
+        for label in unreached.iter().filter(|label| heard.contains_key(*label)) {
+            shard.lend(label);
+        }
+    });
+}
+
+/// The zones that have controllers, but none outside this set.
+fn zones_of(node: &Node, unreached: &BTreeSet<String>) -> BTreeSet<String> {
+    let platform = &node.settings.platform;
+    let reached = |peer: &&Peer| !unreached.contains(&peer.label);
+    let mut zones: BTreeSet<String> = platform
+        .others
+        .iter()
+        .map(|peer| peer.area.clone())
+        .collect();
+    for peer in platform.others.iter().filter(reached) {
+        zones.remove(&peer.area);
+    }
+    zones.remove(&platform.area);
+    zones
+}
+
+/// Keeps workers for an owner that can't hear them, while it lends that.
+pub async fn keep_workers(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(KEEPING_LOOK).await;
+        if heard_without_owner(&node) == 0 {
+            node.lock().keeping = None;
+            continue;
+        }
+        let sent = node.now();
+        let read = node.state.list(&keys::owner_prefix(), KEEPING).await;
+        let Ok((items, _)) = read else {
+            continue;
+        };
+        let find = |key: String| items.iter().find(|item| item.key == key);
+        let lent = find(keys::keeper(node.label()))
+            .and_then(|item| serde_json::from_value::<KeeperRecord>(item.value.clone()).ok())
+            .map(|record| record.term);
+        // A loan ends with the term of the owner that gave it.
+        let term = find(keys::owner())
+            .map(|item| item.version)
+            .filter(|term| lent == Some(*term));
+        let until = sent + KEEPING.mul_f64(0.998) - KEEPING_MARGIN;
+        let mut inner = node.lock();
+        let began = inner.keeping.is_none() && term.is_some();
+        inner.keeping = term.map(|term| (term, until));
+        drop(inner);
+        if began {
+            tracing::info!(term, "keeping workers that the owner can't hear");
+        }
+    }
 }
 
 /// Whether this owner hears too few workers while a peer hears more.
@@ -331,7 +441,8 @@
             .unwrap_or(0);
         (heard, by_pulse)
     };
-    let by_record = heard_elsewhere(node).await;
+    let by_record = heard_elsewhere(node).await.unwrap_or_default();
+    let by_record = by_record.into_values().max().unwrap_or(0);
     tracing::debug!(
         heard,
         by_pulse,
@@ -348,8 +459,13 @@
     let (Some(own), Some(main)) = (&inner.ownership, &inner.main_zone) else {
         return false;
     };
+    let least = if own.shard.is_busy() {
+        LONGEST_BUSY
+    } else {
+        LEAST_TENURE
+    };
     *main != node.settings.platform.area
-        && now.saturating_duration_since(own.tenure.since) > LEAST_TENURE
+        && now.saturating_duration_since(own.tenure.since) > least
         && inner.peers.values().any(|view| {
             now.saturating_duration_since(view.at) < Duration::from_secs(2)
                 && view.pulse.zone == *main
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -7,6 +7,7 @@
 
 use super::fleet::Fleet;
 use super::{Job, Machine, Machines, Policy, Shard, writes};
+use crate::coordination::lease::KEEPING;
 use crate::protocol::MachineId;
 use crate::storage::records::{BookingRecord, JobRecord, RosterRecord};
 use crate::storage::snapshot;
@@ -54,6 +55,8 @@
             unresolved: BTreeSet::new(),
             fleet: Fleet::default(),
             writes: writes::Writer::default(),
+            loans: Default::default(),
+            cut_off: BTreeSet::new(),
             // A task's attempt number never repeats, whatever was lost: the
             // term is in it.
             next_take: term << TAKE_BITS,
@@ -83,7 +86,8 @@
             }
         }
         shard.writes.written = loaded.chunks;
-        let lease_over = now + shard.policy.lease_surely_over();
+        // A keeper of the last owner may have answered workers until just now.
+        let lease_over = now + shard.policy.lease_surely_over() + KEEPING;
         for LoadedMachine { id, page, record } in loaded.roster {
             let id: MachineId = id.as_str().into();
             shard.writes.roster.load(page, id.clone(), record.clone());
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -253,6 +253,9 @@
 
     /// Ends the sessions whose leases are surely over.
     pub(super) fn expire_leases(&mut self, now: Instant) {
+        if self.others_keep() {
+            return;
+        }
         let over: Vec<MachineId> = self
             .machines
             .values()
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -171,6 +171,12 @@
         // When much is silent at once, the trouble is more likely ours.
         let many = silent > 1 && silent * 3 > expected.len();
         let soon = self.policy.report.mul_f64(1.4);
+        // What may be cut off with its zone is better kept by a controller
+        // there; but what nobody accounts for holds up all that is lost.
+        let wait = |m: &Machine| {
+            self.others_keep()
+                || (self.cut_off.contains(&*m.zone) && !self.unresolved.contains(&m.id))
+        };
         let lost: Vec<(MachineId, &str)> = expected
             .iter()
             .filter_map(|m| {
@@ -181,9 +187,11 @@
                 } else if silence >= self.policy.abandon
                     && m.unanswered >= PROBES_TO_ABANDON
                     && !many
+                    && !wait(m)
                 {
                     Some((m.id.clone(), "its worker is silent"))
                 } else if now > m.lease_over
+                    && !self.others_keep()
                     && silence >= self.policy.worker_lease * if many { 4 } else { 1 }
                 {
                     Some((m.id.clone(), "its worker's lease is over"))
--- /dev/null
+++ b/src/coordination/shard/keeping.rs
@@ -0,0 +1,121 @@
+//! Workers that this owner can't hear, while another controller does.
+//!
+//! When zones are cut from one another, the owner lends the keeping of silent
+//! workers to a controller that hears them: it may answer their reports with
+//! the owner's term and no commands, so that their leases go on and what runs
+//! there runs on. Meanwhile no lease is taken to be over, and when the loan
+//! ends, leases count from the last moment at which the keeper may have
+//! answered.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::{Fact, Shard};
+use crate::coordination::lease::KEEPING;
+use crate::protocol::state::Change;
+use crate::storage::keys;
+use crate::storage::records::{KeeperRecord, VERSION};
+
+/// Our clock may run fast against the keeper's.
+const DRIFT: f64 = 1.002;
+
+/// How a loan stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Loan {
+    /// The keeper may answer from the moment the write is asked for.
+    Lent,
+    /// The end of the loan is being written.
+    Ending,
+    /// It ended in the state service before this moment.
+    Ended(Instant),
+}
+
+/// Loans by the keeper's label.
+pub(super) type Loans = BTreeMap<String, Loan>;
+
+impl Shard {
+    /// Whether a controller may keep silent workers.
+    pub fn has_lent_to(&self, label: &str) -> bool {
+        self.loans.get(label) == Some(&Loan::Lent)
+    }
+
+    /// The controllers that may keep silent workers.
+    pub fn keepers(&self) -> Vec<String> {
+        let lent = |(label, loan): (&String, &Loan)| (*loan == Loan::Lent).then(|| label.clone());
+        self.loans.iter().filter_map(lent).collect()
+    }
+
+    /// Lends the keeping of silent workers to a controller that hears them.
+    /// Not before this owner knows what is on all machines: what the keeper
+    /// keeps alive could not be accounted for.
+    pub fn lend(&mut self, label: &str) {
+        if self.has_lent_to(label) || !self.unresolved.is_empty() {
+            return;
+        }
+        let record = KeeperRecord {
+            v: VERSION,
+            term: self.term,
+        };
+        let Ok(value) = serde_json::to_value(record) else {
+            return;
+        };
+        tracing::info!(
+            term = self.term,
+            keeper = label,
+            "keeping of silent workers lent"
+        );
+        self.loans.insert(label.to_owned(), Loan::Lent);
+        self.writes
+            .fact(Fact::Lent, Change::put(keys::keeper(label), value));
+        self.restless = true;
+    }
+
+    /// Ends a loan: the keeper can be reached again, or hears nobody.
+    pub fn recall(&mut self, label: &str) {
+        if !self.has_lent_to(label) {
+            return;
+        }
+        tracing::info!(
+            term = self.term,
+            keeper = label,
+            "keeping of workers recalled"
+        );
+        self.loans.insert(label.to_owned(), Loan::Ending);
+        self.writes.fact(
+            Fact::Recalled(label.to_owned()),
+            Change::delete(keys::keeper(label)),
+        );
+        self.restless = true;
+    }
+
+    /// The end of a loan is written; it may have been lent again since.
+    pub(super) fn recalled(&mut self, label: &str, now: Instant) {
+        if let Some(loan) = self.loans.get_mut(label)
+            && *loan == Loan::Ending
+        {
+            *loan = Loan::Ended(now);
+        }
+    }
+
+    /// Whether a worker's lease may have been renewed without our knowledge.
+    pub(super) fn others_keep(&self) -> bool {
+        !self.loans.is_empty()
+    }
+
+    /// Forgets loans under which nobody can answer any more. Until then the
+    /// keeper may have answered any silent worker.
+    pub(super) fn end_loans(&mut self, now: Instant) {
+        let answers = KEEPING.mul_f64(DRIFT) + Duration::from_millis(50);
+        let over = |loan: &Loan| matches!(loan, Loan::Ended(at) if *at + answers <= now);
+        if !self.loans.values().any(over) {
+            return;
+        }
+        self.loans.retain(|_, loan| !over(loan));
+        let lease_over = now + self.policy.lease_surely_over();
+        for id in self.machines.ids(|m| m.lease_over < lease_over) {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.lease_over = lease_over;
+            }
+        }
+    }
+}
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod fleet;
 mod jobs;
+mod keeping;
 mod machines;
 mod placement;
 mod plan;
@@ -195,6 +196,9 @@
     unresolved: BTreeSet<MachineId>,
     fleet: fleet::Fleet,
     writes: writes::Writer,
+    loans: keeping::Loans,
+    /// Zones all of whose controllers can't be reached: likely cut off.
+    cut_off: BTreeSet<String>,
     next_take: u64,
     next_command: u64,
     /// The zone of a controller that holds most machines: services are safest
@@ -217,6 +221,7 @@
     /// Periodic work: leases, snapshots, fleet. Every fraction of a second.
     pub fn tick(&mut self, now: Instant) {
         self.machines.refresh();
+        self.end_loans(now);
         self.expire_leases(now);
         let due = |at: Instant| now.saturating_duration_since(at) >= COUNT_EVERY;
         if self.counted.is_none_or(due) {
@@ -384,6 +389,16 @@
         text
     }
 
+    /// Whether work waits that may be placed, or machines are unaccounted for.
+    pub fn is_busy(&self) -> bool {
+        !self.unresolved.is_empty() || self.jobs.values().any(|job| job.waiting() > 0)
+    }
+
+    /// Which zones are likely cut off from us.
+    pub fn set_cut_off(&mut self, zones: BTreeSet<String>) {
+        self.cut_off = zones;
+    }
+
     /// Whether something changed since decisions were last made.
     pub fn restless(&self) -> bool {
         self.restless
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -616,3 +616,58 @@
     let commands = script.report("vm-1", vec![done, running(1)]);
     assert!(clears(&commands));
 }
+
+/// Found at full size: a cut between zones ended half of all replicas.
+#[test]
+fn a_lease_is_not_over_while_another_controller_may_keep_its_worker() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    let (_, _, commands) = &batch;
+    let Command::Launch { task, attempt } = commands[0].clone() else {
+        panic!("not a launch");
+    };
+    let runs = vec![listed(&task.to_string(), attempt, TaskState::Running, None)];
+    let report = script.report_of("vm-1", TERM, runs.clone());
+    script.answered(&batch, CommandOutcome::Executed(report));
+    script.report("vm-1", runs);
+    script.shard.lend("beta");
+    script.settle();
+    for _ in 0..120 {
+        script.pass(Duration::from_secs(1));
+        script.report("vm-2", Vec::new());
+    }
+    assert!(script.launches().is_empty(), "it may still run there");
+    assert!(!script.machine("vm-1").deleting);
+    // The loan's end is written at once here. The keeper may answer a little
+    // longer, and the worker's lease runs from its last answer.
+    script.shard.recall("beta");
+    script.settle();
+    for _ in 0..26 {
+        script.pass(Duration::from_secs(1));
+        script.report("vm-2", Vec::new());
+        let at_once = script.machine("vm-1").deleting;
+        assert!(script.launches().is_empty() || at_once);
+    }
+    assert_eq!(script.machine("vm-1").dead_sessions, 0, "its lease may run");
+    for _ in 0..6 {
+        script.pass(Duration::from_secs(1));
+        script.report("vm-2", Vec::new());
+    }
+    assert!(script.machine("vm-1").dead_sessions > 0);
+    assert_eq!(script.launches().len(), 1, "it starts again elsewhere");
+}
+
+#[test]
+fn nothing_is_lent_before_every_machine_is_accounted_for() {
+    let mut script = Script::new(Loaded {
+        roster: vec![roster("vm-1")],
+        ..Loaded::default()
+    });
+    script.shard.lend("beta");
+    assert!(!script.shard.has_lent_to("beta"));
+    script.report("vm-1", Vec::new());
+    script.shard.lend("beta");
+    assert!(script.shard.has_lent_to("beta"));
+}
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -28,6 +28,10 @@
     Book(Rental),
     /// The rental is answered.
     Unbook(String),
+    /// A controller may keep silent workers.
+    Lent,
+    /// It may no longer.
+    Recalled(String),
     /// A chunk of the snapshot.
     Chunk(String, Option<Value>),
 }
@@ -333,7 +337,8 @@
                 Fact::Chunk(key, None) => {
                     self.writes.written.remove(key);
                 }
-                Fact::Unbook(_) => {}
+                Fact::Recalled(label) => self.recalled(label, now),
+                Fact::Unbook(_) | Fact::Lent => {}
             }
         }
         self.delete(&returned);
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -31,6 +31,12 @@
     format!("o/{SHARD}/owner")
 }
 
+/// That a controller may keep workers which the owner can't hear. It stands
+/// beside the ownership record, so that one read tells of both.
+pub fn keeper(label: &str) -> String {
+    format!("o/{SHARD}/keep/{label}")
+}
+
 /// The shard's sequence number.
 pub fn sequence() -> String {
     format!("s/{SHARD}/seq")
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -53,6 +53,13 @@
     pub run: u64,
 }
 
+/// That a controller may answer workers which the owner of this term can't hear.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeeperRecord {
+    pub v: u32,
+    pub term: u64,
+}
+
 /// The shard's sequence number.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SequenceRecord {
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -106,6 +106,10 @@
         }
         Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
         None => {
+            if let Some(term) = node.keeps(report.term) {
+                let commands = Vec::new();
+                return json(StatusCode::OK, &ReportAnswer { term, commands });
+            }
             let owner = node.owner_label().filter(|label| label != node.label());
             json(StatusCode::MISDIRECTED_REQUEST, &Redirect { owner })
         }
