--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -21,6 +21,10 @@
 /// Share of a good wait that is used before machines are rented for it.
 const PATIENCE: f64 = 0.8;
 
+/// When work starts at the latest of which nobody says when it should: the
+/// users call more than four minutes not served.
+const LONGEST_WAIT: Duration = Duration::from_secs(240);
+
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
 
@@ -420,10 +424,15 @@
             .spec
             .deadline_s
             .map(|deadline| deadline - age - run - self.quickest().as_secs_f64());
-        [start, finish, deadline]
+        let stated = [start, finish, deadline]
             .into_iter()
             .flatten()
-            .min_by(f64::total_cmp)
+            .min_by(f64::total_cmp);
+        stated.or_else(|| {
+            // Work of which nobody says when it should start or end.
+            let batch = job.spec.kind == JobKind::Batch;
+            batch.then(|| LONGEST_WAIT.as_secs_f64() * PATIENCE - age)
+        })
     }
 
     /// The shortest usual time until a new machine is up.
