Emptying goes on while machines are rented; long waits get one start

Cause: any wish for an ordinary machine opened all machines being emptied again; with hundreds of jobs there always is one.

--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -24,9 +24,9 @@
 const CANDIDATES: usize = 8;
 
 impl Shard {
-    /// Goes on with the machines that services leave, or picks the next ones.
+    /// Goes on with the machines that services leave, and may pick the next ones.
     /// What else runs on those picked before ends by itself.
-    pub(super) fn consolidate(&mut self, bins: &[Bin], now: Instant) {
+    pub(super) fn consolidate(&mut self, bins: &[Bin], pick: bool, now: Instant) {
         let at_once = 1 + self.machines.len() / ONE_IN;
         let draining = self.machines.ids(|m| m.draining && !m.deleting);
         let mut leaving: Vec<MachineId> = draining
@@ -35,7 +35,11 @@
             .cloned()
             .collect();
         let idle = leaving.is_empty();
-        let more = at_once.saturating_sub(draining.len());
+        let more = if pick {
+            at_once.saturating_sub(draining.len())
+        } else {
+            0
+        };
         for id in self.emptiest(bins, more, now) {
             if let Some(machine) = self.machines.get_mut(&id) {
                 tracing::info!(machine = %id, "emptying a little used machine");
@@ -106,17 +110,23 @@
                 .is_some_and(|m| m.has_image(image) && !m.draining)
     }
 
-    /// Opens the machine being emptied again; false if there was none.
-    pub(super) fn stop_draining(&mut self) -> bool {
-        let mut any = false;
-        for id in self.machines.ids(|m| m.draining) {
-            if let Some(machine) = self.machines.get_mut(&id) {
+    /// Opens machines being emptied again whose room the plan needs.
+    pub(super) fn reopen(&mut self, bins: &[Bin]) {
+        for id in bins
+            .iter()
+            .filter(|bin| bin.used)
+            .filter_map(|bin| bin.machine.as_ref())
+        {
+            if self
+                .machines
+                .get(id)
+                .is_some_and(|m| m.draining && !m.deleting)
+                && let Some(machine) = self.machines.get_mut(id)
+            {
                 machine.draining = false;
-                any |= !machine.deleting;
+                self.restless = true;
             }
         }
-        self.restless |= any;
-        any
     }
 
     /// The next service of each machine being emptied for which there is room
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -16,6 +16,9 @@
 const SEED_FROM: u32 = 8;
 /// Tasks of one job placed before its team's turn ends.
 const BLOCK: usize = 4;
+/// How long a job waits without a start until it gets one before others: the
+/// users call more than four minutes not served.
+const STARVING: Duration = Duration::from_secs(150);
 /// Tasks placed in one pass.
 const MOST_PLACED: usize = 256;
 const SLACK: f64 = 1e-6;
@@ -238,6 +241,7 @@
         let mut stuck = Vec::new();
         let mut placed_in_all = 0;
         let wall = self.wall_ms(now);
+        self.begin_starving(&mut pass, wall, now);
         for (_, teams) in levels {
             let mut queues: HashMap<String, VecDeque<JobId>> = teams
                 .into_iter()
@@ -254,7 +258,7 @@
                     queues.remove(&team);
                     continue;
                 };
-                let placed = self.place_some(&id, &mut pass, now);
+                let placed = self.place_some(&id, BLOCK, &mut pass, now);
                 placed_in_all += placed;
                 if placed_in_all >= MOST_PLACED {
                     // Reports and renewals come first; the next pass goes on.
@@ -273,6 +277,28 @@
         self.preempt(&stuck, &pass, now);
     }
 
+    /// Work that has waited for long without a single start gets one, whatever
+    /// comes before it: room is found, none is made.
+    fn begin_starving(&mut self, pass: &mut Pass, wall: u64, now: Instant) {
+        let starving: Vec<JobId> = self
+            .jobs
+            .values()
+            .filter(|job| {
+                let age = Duration::from_millis(wall.saturating_sub(job.at_ms));
+                age > STARVING
+                    && job.waiting() > 0
+                    && job.live().is_empty()
+                    && job.done().is_empty()
+                    && job.not_before.is_none_or(|at| at <= now)
+                    && self.whereabouts_known(job)
+            })
+            .map(|job| job.id.clone())
+            .collect();
+        for id in starving {
+            self.place_some(&id, 1, pass, now);
+        }
+    }
+
     /// Jobs that can still be in time go before those that are late already.
     fn queue_key(&self, id: &JobId, wall: u64) -> (bool, u64, u64) {
         match self.jobs.get(id) {
@@ -301,10 +327,10 @@
             .map(|(_, team)| team.clone())
     }
 
-    /// Places up to a block of a job's tasks; returns how many.
-    fn place_some(&mut self, id: &JobId, pass: &mut Pass, now: Instant) -> usize {
+    /// Places some of a job's tasks; returns how many.
+    fn place_some(&mut self, id: &JobId, most: usize, pass: &mut Pass, now: Instant) -> usize {
         let mut placed = 0;
-        while placed < BLOCK {
+        while placed < most {
             let Some(job) = self.jobs.get(id) else {
                 break;
             };
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -52,7 +52,8 @@
     /// Kept for batch work alone, at the full price.
     costly: bool,
     pub used: bool,
-    /// Sort: busy machines, idle ones, those that are yet to come.
+    /// Sort: busy machines, idle ones, those that are yet to come, those that
+    /// are being emptied.
     pub rank: u8,
 }
 
@@ -206,12 +207,8 @@
         }
         let growing = wanted.keys().any(|(_, _, spot)| !spot)
             || self.fleet.bookings.values().any(|b| !b.rental.spot);
-        if !growing {
-            self.consolidate(&bins, now);
-        } else if self.stop_draining() {
-            // There was room after all: plan again with it.
-            return;
-        }
+        self.reopen(&bins);
+        self.consolidate(&bins, !growing, now);
         for ((machine_type, zone, spot), count) in wanted {
             self.book(machine_type, zone, spot, count.min(MOST_PER_RENTAL));
         }
@@ -250,7 +247,8 @@
                 yielding: yielding(machine),
                 costly: self.costly(machine, now),
                 used: false,
-                rank: match (coming, machine.busy()) {
+                rank: match (coming, !machine.tally.idle()) {
+                    _ if machine.draining => 3,
                     (false, true) => 0,
                     (false, false) => 1,
                     (true, _) => 2,
