--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -19,7 +19,7 @@
 /// One machine in so many is emptied at once, and one at the least. With four
 /// among some thirty, wider hunts showed neither a better price nor a better
 /// score.
-const ONE_IN: usize = 30;
+const ONE_IN: usize = 40;
 /// Machines looked at beyond those that may be emptied.
 const CANDIDATES: usize = 8;
 
@@ -35,7 +35,6 @@
             .cloned()
             .collect();
         let idle = leaving.is_empty();
-        self.save_and_leave(&draining);
         let more = if pick {
             at_once.saturating_sub(draining.len())
         } else {
@@ -111,29 +110,6 @@
                 .is_some_and(|m| m.has_image(image) && !m.draining)
     }
 
-    /// Batch work that can save leaves machines being emptied once no service
-    /// is there any more; the rest ends by itself.
-    fn save_and_leave(&mut self, draining: &[MachineId]) {
-        for id in draining {
-            if self.machines.get(id).is_none_or(hosts_services) {
-                continue;
-            }
-            let Some(machine) = self.machines.get_mut(id) else {
-                continue;
-            };
-            for attempt in machine.attempts.values_mut() {
-                let grace = attempt.spec.as_ref().map(|spec| spec.save_time());
-                if let Some(grace) = grace.filter(|grace| !grace.is_zero())
-                    && attempt.phase == Phase::Running
-                    && attempt.stop.is_none()
-                {
-                    attempt.want_stop(grace);
-                    self.restless = true;
-                }
-            }
-        }
-    }
-
     /// Opens machines being emptied again whose room the plan needs.
     pub(super) fn reopen(&mut self, bins: &[Bin]) {
         for id in bins
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -12,9 +12,6 @@
 
 /// What a stopped service is reckoned to lose.
 const SERVICE_HARM: Duration = Duration::from_secs(3600);
-/// What is added for the only task of a job that has begun: its users would
-/// see it begin anew.
-const ONLY_START_HARM: Duration = Duration::from_secs(600);
 /// Tasks that started less than this ago are rather left to run.
 const YOUNG: Duration = Duration::from_secs(30);
 /// Jobs looked at in one pass.
@@ -89,26 +86,22 @@
                 if attempt.stop.is_some() {
                     free.give(other);
                 } else if self.may_stop(spec, other, guaranteed, usage) {
-                    let only = self.only_start(key);
-                    candidates.push((only, other.priority, harm(attempt, now), key, attempt));
+                    candidates.push((other.priority, harm(attempt, now), key, attempt));
                 }
             }
             if free.holds(spec) {
                 return Some((slot.id.clone(), Vec::new()));
             }
-            candidates.sort_by(|a, b| (a.0, a.1, a.2, a.3).cmp(&(b.0, b.1, b.2, b.3)));
+            candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
             let mut cost = Duration::ZERO;
             let mut victims = Vec::new();
-            for (only, _, lost, key, attempt) in candidates {
+            for (_, lost, key, attempt) in candidates {
                 if free.holds(spec) {
                     break;
                 }
                 if let Some(other) = &attempt.spec {
                     free.give(other);
                     cost += lost;
-                    if only {
-                        cost += ONLY_START_HARM;
-                    }
                     victims.push(key.clone());
                 }
             }
@@ -119,13 +112,6 @@
         best.map(|(_, machine, victims)| (machine, victims))
     }
 
-    /// Whether stopping this task would leave a job without any start.
-    fn only_start(&self, key: &(TaskId, u64)) -> bool {
-        self.jobs
-            .get(&key.0.job)
-            .is_some_and(|job| job.live().len() <= 1 && job.done().is_empty())
-    }
-
     /// The cheapest task of lower priority of the same team, unless one is
     /// being stopped already.
     fn lesser_of_team(&self, spec: &JobSpec, now: Instant) -> Option<(MachineId, (TaskId, u64))> {
