--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -337,12 +337,16 @@
 
     /// How the cores of ordinary or spot machines are used.
     fn cores_of(&self, spot: bool) -> String {
-        let (mut total, mut services, mut batch) = (0.0, 0.0, 0.0);
+        let (mut total, mut hosts, mut services, mut batch) = (0.0, 0.0, 0.0, 0.0);
         for machine in self.machines.values().filter(|m| m.spot == spot) {
-            total += self
+            let cores = self
                 .types
                 .get(&*machine.machine_type)
                 .map_or(0.0, |kind| kind.cores);
+            total += cores;
+            if drain::hosts_services(machine) {
+                hosts += cores;
+            }
             for (spec, count) in &machine.tally.tasks {
                 let cores = spec.cores * f64::from(*count);
                 match spec.kind {
@@ -351,7 +355,7 @@
                 }
             }
         }
-        format!("{total} cores ({services} services, {batch} batch)")
+        format!("{total} cores ({services} services on {hosts}, {batch} batch)")
     }
 
     /// Machines and queues, as text for operators.
