A machine is held for a job that has waited for long

Cause: two small tasks share a small machine and one always follows the other, so that a task of four cores never found the whole of it.

--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -19,6 +19,8 @@
 /// How long a job waits without a start until it gets one before others: the
 /// users call more than four minutes not served.
 const STARVING: Duration = Duration::from_secs(150);
+/// Machines held at once for jobs that have waited for that long.
+const MOST_HELD: usize = 16;
 /// Tasks placed in one pass.
 const MOST_PLACED: usize = 256;
 const SLACK: f64 = 1e-6;
@@ -35,6 +37,8 @@
     pub free: Amounts,
     /// Of that, what batch work must leave.
     pub reserved: Amounts,
+    /// Kept from batch work for a job that has waited for long.
+    pub held: bool,
 }
 
 impl Slot {
@@ -42,6 +46,9 @@
     fn fits(&self, spec: &JobSpec) -> bool {
         let mut free = self.free;
         if spec.kind == JobKind::Batch {
+            if self.held {
+                return false;
+            }
             free.cores -= self.reserved.cores;
             free.accelerators -= self.reserved.accelerators;
             free.mem_gb -= self.reserved.mem_gb;
@@ -205,6 +212,7 @@
                     costly: self.costly(m, now),
                     free: m.free(kind),
                     reserved: reserved.get(&m.id).copied().unwrap_or_default(),
+                    held: false,
                 })
             })
             .collect()
@@ -280,7 +288,7 @@
     /// Work that has waited for long without a single start gets one, whatever
     /// comes before it: room is found, none is made.
     fn begin_starving(&mut self, pass: &mut Pass, wall: u64, now: Instant) {
-        let starving: Vec<JobId> = self
+        let mut starving: Vec<JobId> = self
             .jobs
             .values()
             .filter(|job| {
@@ -294,8 +302,36 @@
             })
             .map(|job| job.id.clone())
             .collect();
-        for id in starving {
-            self.place_some(&id, 1, pass, now);
+        starving.sort_by_key(|id| self.queue_key(id, wall));
+        for id in starving.into_iter().take(MOST_HELD) {
+            if self.place_some(&id, 1, pass, now) == 0 {
+                self.hold_for(&id, pass);
+            }
+        }
+    }
+
+    /// Keeps the emptiest machine that could hold a task of a job from other
+    /// batch work: small tasks would fill every hole there for ever.
+    fn hold_for(&self, id: &JobId, pass: &mut Pass) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let spec = &job.spec;
+        let emptiest = pass
+            .slots
+            .iter_mut()
+            .filter(|slot| {
+                !slot.held
+                    && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && self.worth_it(job, slot)
+                    && self
+                        .types
+                        .get(&*slot.machine_type)
+                        .is_some_and(|kind| Amounts::of_type(kind).holds(spec))
+            })
+            .max_by(|a, b| a.free.cores.total_cmp(&b.free.cores).then(b.id.cmp(&a.id)));
+        if let Some(slot) = emptiest {
+            slot.held = true;
         }
     }
 
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -25,6 +25,9 @@
 /// users call more than four minutes not served.
 const LONGEST_WAIT: Duration = Duration::from_secs(240);
 
+/// The same for the rest of such work once some of it has begun.
+const LONGEST_UNTIMED: Duration = Duration::from_secs(600);
+
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
 
@@ -428,8 +431,10 @@
             .min_by(f64::total_cmp);
         stated.or_else(|| {
             // Work of which nobody says when it should start or end.
+            let begun = !job.live().is_empty() || !job.done().is_empty();
+            let longest = if begun { LONGEST_UNTIMED } else { LONGEST_WAIT };
             let batch = job.spec.kind == JobKind::Batch;
-            batch.then(|| LONGEST_WAIT.as_secs_f64() * PATIENCE - age)
+            batch.then_some(longest.as_secs_f64() * PATIENCE - age)
         })
     }
 
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -671,3 +671,58 @@
     script.shard.lend("beta");
     assert!(script.shard.has_lent_to("beta"));
 }
+
+/// Found at full size: where two small tasks share a machine, one always
+/// follows the other, and a task that needs the whole of it never starts.
+#[test]
+fn small_tasks_do_not_fill_every_hole_for_ever() {
+    let mut script = Script::new(Loaded::default());
+    let mut large = spec("red", 8.0, 1);
+    large.priority = Priority::BestEffort;
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 4.0, 400));
+    script.submit("run-2", large);
+    let mut running: Vec<(TaskId, u64)> = Vec::new();
+    let mut large_started_after = None;
+    for second in 0..240 {
+        // One small task ends each second, so that both halves are never free
+        // at once unless the machine is held.
+        for (machine, number, commands) in script.launches() {
+            for command in &commands {
+                if let Command::Launch { task, attempt } = command {
+                    running.push((task.clone(), *attempt));
+                }
+            }
+            let lines = running
+                .iter()
+                .map(|(task, take)| listed(&task.to_string(), *take, TaskState::Running, None))
+                .collect();
+            let report = script.report_of("vm-1", TERM, lines);
+            script.answered(
+                &(machine, number, commands),
+                CommandOutcome::Executed(report),
+            );
+        }
+        if running.iter().any(|(task, _)| &*task.job == "run-2") {
+            large_started_after = Some(second);
+            break;
+        }
+        let ended = running.remove(0);
+        let mut lines: Vec<TaskReport> = running
+            .iter()
+            .map(|(task, take)| listed(&task.to_string(), *take, TaskState::Running, None))
+            .collect();
+        let done = Some(Ending::Done);
+        lines.push(listed(
+            &ended.0.to_string(),
+            ended.1,
+            TaskState::Ended,
+            done,
+        ));
+        script.now += Duration::from_millis(500);
+        script.report("vm-1", lines);
+        script.pass(Duration::from_millis(500));
+    }
+    let second = large_started_after.expect("the large task starts");
+    assert!((140..200).contains(&second), "after {second} s");
+}
