--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -275,14 +275,8 @@
     pub fn may_not_seek(&self) -> Option<Instant> {
         let now = self.now();
         let inner = self.lock();
-        let others = self.settings.platform.others.len();
-        let free_peers = inner
-            .peers
-            .values()
-            .filter(|view| view.pulse.term.is_none())
-            .count();
-        let no_owner_about = inner.previous_run_ended || free_peers == others;
-        let earlier = (!no_owner_about).then_some(self.started + peering::LONGEST_PROMISE);
+        let earlier =
+            (!inner.previous_run_ended).then_some(self.started + peering::LONGEST_PROMISE);
         inner
             .promised_until
             .max(earlier)
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -27,7 +27,7 @@
 /// How long an owner stays at the least before it hands over to a nearer one.
 const LEAST_TENURE: Duration = Duration::from_secs(6);
 /// How long it stays while work waits: a change of owners makes it wait longer.
-const LONGEST_BUSY: Duration = Duration::from_secs(60);
+const LONGEST_BUSY: Duration = Duration::from_secs(15);
 /// How long a new owner listens before it may call itself deaf: every machine
 /// was asked for a report at once.
 const LISTENING: Duration = Duration::from_secs(2);
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -91,6 +91,7 @@
         };
         self.next_command += 1;
         machine.command = Some(self.next_command);
+        machine.asked_at = machine.numbers();
         machine.command_retry = None;
         self.out.push(Action::Command {
             machine: id.clone(),
@@ -119,7 +120,7 @@
             .values()
             .filter(|m| {
                 let quiet = m.silence(now) > self.policy.report.mul_f64(1.25) + PROBE_LATE;
-                (!m.synced || quiet)
+                (!m.synced || quiet || m.deaf)
                     && m.should_report()
                     && m.command.is_none()
                     && m.command_retry.is_none_or(|at| at <= now)
@@ -143,7 +144,8 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if machine.command == Some(number) {
+        let last = machine.command == Some(number);
+        if last {
             machine.command = None;
         }
         let executed = matches!(outcome, CommandOutcome::Executed(_));
@@ -167,8 +169,18 @@
                 _ => {}
             }
         }
+        let asked_at = machine.asked_at;
         match outcome {
             CommandOutcome::Executed(report) | CommandOutcome::Refused(report) => {
+                machine.deaf = false;
+                if (report.session, report.seq) <= asked_at && last {
+                    // An answer is no copy, and numbers only rise: the machine
+                    // came back with a worker that began anew. What it held is
+                    // gone, and what is under way to it may land yet; only its
+                    // deletion tells the two apart.
+                    self.begin_deletion(id, now, "its worker has started over");
+                    return;
+                }
                 self.apply_report(&report, now);
                 if executed {
                     self.settle_launches(id, sent, now);
@@ -177,6 +189,7 @@
             CommandOutcome::NotSent | CommandOutcome::NoAnswer => {
                 machine.command_retry = Some(now + RETRY);
                 machine.unanswered += 1;
+                machine.deaf = true;
             }
         }
         self.restless = true;
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -180,6 +180,9 @@
     pub spot: bool,
     pub session: Option<u64>,
     pub seq: u64,
+    /// The newest that it reported by itself, as (session, number): what is not
+    /// newer is a copy that nobody waits for.
+    pub reported: (u64, u64),
     /// Sessions up to this one are over, whatever late messages say.
     pub dead_sessions: u64,
     /// A report has carried our term: no older command can land any more.
@@ -219,6 +222,12 @@
     pub vanished: bool,
     /// The batch of commands that is under way.
     pub command: Option<u64>,
+    /// The newest numbers known when that batch was sent: what answers it is
+    /// newer, unless the worker has started over.
+    pub asked_at: (u64, u64),
+    /// Commands don't reach it, as far as is known: it gets no new work until
+    /// it answers some.
+    pub deaf: bool,
     pub command_retry: Option<Instant>,
     /// Batches of commands without an answer since it was last heard.
     pub unanswered: u32,
@@ -234,6 +243,7 @@
             spot: false,
             session: None,
             seq: 0,
+            reported: (0, 0),
             dead_sessions: 0,
             synced: false,
             admitted: false,
@@ -255,6 +265,8 @@
             listed: false,
             vanished: false,
             command: None,
+            asked_at: (0, 0),
+            deaf: false,
             command_retry: None,
             unanswered: 0,
         }
@@ -274,6 +286,11 @@
         self.spot = spot;
     }
 
+    /// The newest numbers that came from its worker.
+    pub fn numbers(&self) -> (u64, u64) {
+        (self.session.unwrap_or(0), self.seq)
+    }
+
     /// Whether its worker has ever been expected to report to us.
     pub fn should_report(&self) -> bool {
         !self.deleting && (self.heard.is_some() || self.admitted)
@@ -293,6 +310,7 @@
             && self
                 .session
                 .is_some_and(|session| session > self.dead_sessions)
+            && !self.deaf
             && !self.deleting
             && !self.condemned
             && !self.draining
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -11,6 +11,9 @@
 /// How many different jobs must fail on a machine before it is given up.
 const ERRORS_TO_CONDEMN: usize = 2;
 
+/// Pause before a machine that sends old numbers is asked again.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
+
 /// What to answer to a report.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ReportOutcome {
@@ -35,10 +38,14 @@
             return ReportOutcome::Refuse;
         };
         // Whatever the worker makes of this answer, its lease can't end later
-        // than it would if it took it.
-        machine.lease_over = machine
-            .lease_over
-            .max(now + self.policy.lease_surely_over());
+        // than it would if it took it. Nobody takes the answer to a copy.
+        let numbers = (report.session, report.seq);
+        if numbers > machine.reported {
+            machine.reported = numbers;
+            machine.lease_over = machine
+                .lease_over
+                .max(now + self.policy.lease_surely_over());
+        }
         let current = machine.session == Some(report.session) && machine.seq == report.seq;
         let commands = if machine.synced && current {
             answer_commands(machine)
@@ -62,13 +69,14 @@
             return;
         };
         let id = machine.id.clone();
-        if report.session <= machine.dead_sessions {
-            return;
-        }
-        if machine
-            .session
-            .is_some_and(|session| (report.session, report.seq) <= (session, machine.seq))
-        {
+        let numbers = (report.session, report.seq);
+        if report.session <= machine.dead_sessions || numbers <= machine.numbers() {
+            // A copy or a late message; or the machine came back with a worker
+            // that began anew. The machine itself tells.
+            if numbers < machine.numbers() && machine.command_retry.is_none_or(|at| at <= now) {
+                machine.command_retry = Some(now + ASK_AGAIN);
+                self.probe(&id, report.session);
+            }
             return;
         }
         machine.heard = Some(now);
@@ -86,6 +94,8 @@
         if new_session && had_session {
             // The worker killed and forgot all that its last session held.
             machine.dead_sessions = machine.dead_sessions.max(report.session - 1);
+            // We heard it, and still its lease ended: it may not hear us.
+            machine.deaf = true;
             tracing::info!(machine = %id, session = report.session, "worker began a new session");
             self.empty_machine(&id, now);
         }
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -136,6 +136,13 @@
         batches
     }
 
+    /// The empty batches, which only ask for a report.
+    fn probes(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = self.batches();
+        batches.retain(|(_, _, commands)| commands.is_empty());
+        batches
+    }
+
     /// The batches that launch something, as (machine, number, commands).
     fn launches(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
         let mut batches = self.batches();
@@ -723,3 +730,102 @@
     let second = large_started_after.expect("the large task starts");
     assert!((140..200).contains(&second), "after {second} s");
 }
+
+/// Reports arrive, but answers and commands don't reach the machine: its
+/// sessions rise although we hear it. Its work moves, and nothing new goes there
+/// until it has answered.
+#[test]
+fn a_machine_that_does_not_hear_us_gets_no_work_until_it_answers() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    script.answered(&batch, CommandOutcome::NoAnswer);
+    script.report("vm-2", Vec::new());
+    assert!(script.launches().is_empty(), "it may still land on vm-1");
+    let mut report = script.report_of("vm-1", TERM, Vec::new());
+    report.session = 2;
+    script.shard.report(&report, script.now);
+    script.settle();
+    let moved = script.launches();
+    assert_eq!(moved.len(), 1);
+    assert_eq!(&*moved[0].0, "vm-2", "vm-1 is heard, but has not answered");
+    script.submit("run-2", spec("blue", 8.0, 1));
+    script.pass(Duration::from_secs(2));
+    let batches = script.batches();
+    let empty = |(_, _, commands): &(MachineId, u64, Vec<Command>)| commands.is_empty();
+    assert!(batches.iter().all(empty), "only vm-1 has room for it");
+    let probe = batches
+        .into_iter()
+        .find(|(id, ..)| &**id == "vm-1")
+        .expect("it is asked");
+    let mut answer = script.report_of("vm-1", TERM, Vec::new());
+    answer.session = 2;
+    script.answered(&probe, CommandOutcome::Executed(answer));
+    assert_eq!(script.launches().len(), 1);
+}
+
+/// A copy of a report, however late, is answered to nobody: it must not make a
+/// lease look longer, or lost tasks would wait for as long as copies come.
+#[test]
+fn a_copy_of_a_report_renews_no_lease() {
+    let mut script = Script::new(Loaded::default());
+    let first = script.report_of("vm-1", TERM, Vec::new());
+    script.shard.report(&first, script.now);
+    script.report("vm-1", Vec::new());
+    let lease_over = script.machine("vm-1").lease_over;
+    for _ in 0..40 {
+        script.now += Duration::from_secs(1);
+        script.shard.report(&first, script.now);
+        script.settle();
+    }
+    assert_eq!(script.machine("vm-1").lease_over, lease_over);
+    let silence = script.machine("vm-1").silence(script.now);
+    assert!(
+        silence >= Duration::from_secs(40),
+        "a copy is no sign of life"
+    );
+}
+
+/// An answer to a command may overtake the report that was on its way: that
+/// report is no copy, and its worker takes our answer to it.
+#[test]
+fn a_report_that_an_answer_overtook_renews_the_lease() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    let report = script.report_of("vm-1", TERM, Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.launches().remove(0);
+    let answer = script.report_of("vm-1", TERM, Vec::new());
+    script.answered(&batch, CommandOutcome::Executed(answer));
+    script.now += Duration::from_secs(10);
+    script.shard.report(&report, script.now);
+    assert!(script.machine("vm-1").lease_over > script.now + Duration::from_secs(26));
+}
+
+/// A machine may be back within a fraction of a second, with numbers that begin
+/// anew. A report with old numbers may be a copy; only the machine's own answer
+/// proves it, and its deletion proves that nothing lands there any more.
+#[test]
+fn a_worker_that_starts_over_is_asked_and_its_machine_given_back() {
+    let mut script = Script::new(Loaded::default());
+    for _ in 0..5 {
+        script.report("vm-1", Vec::new());
+    }
+    let mut old = script.report_of("vm-1", TERM, Vec::new());
+    old.seq = 1;
+    script.shard.report(&old, script.now);
+    script.settle();
+    let probe = script.probes().remove(0);
+    assert!(!script.machine("vm-1").deleting, "it may be a copy");
+    // The answer of a worker that went on has newer numbers.
+    let newer = script.report_of("vm-1", TERM, Vec::new());
+    script.answered(&probe, CommandOutcome::Executed(newer));
+    assert!(!script.machine("vm-1").deleting);
+    script.now += Duration::from_secs(3);
+    script.shard.report(&old, script.now);
+    script.settle();
+    let probe = script.probes().remove(0);
+    script.answered(&probe, CommandOutcome::Refused(old));
+    assert!(script.machine("vm-1").deleting);
+}
