A keeper stops what belongs to jobs that are over

Leases shorter than cancel_s had been what ended such tasks. A keeper now looks at the jobs before each extension of its time and answers with stops.

--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -392,8 +392,11 @@
             continue;
         }
         let sent = node.now();
-        let read = node.state.list(&keys::owner_prefix(), KEEPING).await;
-        let Ok((items, _)) = read else {
+        let prefix = keys::owner_prefix();
+        // A keeper has to know which jobs are over: what it keeps alive of
+        // them is its to stop.
+        let read = tokio::join!(node.state.list(&prefix, KEEPING), node.look());
+        let (Ok((items, _)), Ok(())) = read else {
             continue;
         };
         let find = |key: String| items.iter().find(|item| item.key == key);
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -2,17 +2,19 @@
 //!
 //! When zones are cut from one another, the owner lends the keeping of silent
 //! workers to a controller that hears them: it may answer their reports with
-//! the owner's term and no commands, so that their leases go on and what runs
-//! there runs on. Meanwhile no lease is taken to be over, and when the loan
+//! the owner's term, so that their leases go on and what runs there runs on,
+//! and it stops what belongs to jobs that are over. Meanwhile no lease is taken to be over, and when the loan
 //! ends, leases count from the last moment at which the keeper may have
 //! answered.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::commands::stop;
 use super::{Fact, Shard};
 use crate::coordination::lease::KEEPING;
 use crate::protocol::state::Change;
+use crate::protocol::workers::{Command, Report, TaskState};
 use crate::storage::keys;
 use crate::storage::records::{KeeperRecord, VERSION};
 
@@ -33,6 +35,18 @@
 /// Loans by the keeper's label.
 pub(super) type Loans = BTreeMap<String, Loan>;
 
+/// What a keeper answers to a report: it starts nothing, but what belongs to a
+/// job that is over must go, since a worker that is kept outlives the time in
+/// which a cancelled job has to end.
+pub fn keeper_commands(report: &Report, is_open: impl Fn(&str) -> bool) -> Vec<Command> {
+    report
+        .tasks
+        .iter()
+        .filter(|line| line.state != TaskState::Ended && !is_open(&line.task.job))
+        .map(|line| stop(&line.task, line.attempt, Duration::ZERO))
+        .collect()
+}
+
 impl Shard {
     /// Whether a controller may keep silent workers.
     pub fn has_lent_to(&self, label: &str) -> bool {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -22,6 +22,7 @@
 pub use cluster::{Loaded, LoadedMachine};
 pub use fleet::RentalOutcome;
 pub use jobs::Job;
+pub use keeping::keeper_commands;
 pub use machines::{Attempt, Machine, Phase};
 pub use reports::ReportOutcome;
 pub use writes::{Fact, ShardWrite};
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -5,7 +5,7 @@
 use super::world::{machine_types, policy, record, spec};
 use crate::coordination::shard::{
     Action, CommandOutcome, Fact, Loaded, LoadedMachine, Machine, RentalOutcome, ReportOutcome,
-    Shard, ShardWrite,
+    Shard, ShardWrite, keeper_commands,
 };
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
@@ -829,3 +829,26 @@
     script.answered(&probe, CommandOutcome::Refused(old));
     assert!(script.machine("vm-1").deleting);
 }
+
+/// Found in a replay of `inc-92c0`: a service whose user cancelled it ran on for
+/// as long as its worker was kept through a cut.
+#[test]
+fn a_keeper_stops_what_belongs_to_jobs_that_are_over() {
+    let mut script = Script::new(Loaded::default());
+    let report = script.report_of(
+        "vm-1",
+        TERM,
+        vec![
+            listed("run-1/0", 1, TaskState::Running, None),
+            listed("run-2/0", 2, TaskState::Running, None),
+            listed("run-2/1", 3, TaskState::Ended, Some(Ending::Done)),
+        ],
+    );
+    let commands = keeper_commands(&report, |job| job == "run-1");
+    let stop = Command::Stop {
+        task: TaskId::parse("run-2/0").expect("task id"),
+        attempt: 2,
+        grace_s: 0.0,
+    };
+    assert_eq!(commands, vec![stop]);
+}
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -122,6 +122,11 @@
         self.book().remember(id, last.stage, last.tasks);
     }
 
+    /// Whether a job was open at the last look.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.book().open.contains(id)
+    }
+
     /// What is known of a job, as of the last look.
     pub fn find(&self, id: &str) -> Known {
         let book = self.book();
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -12,7 +12,7 @@
 
 use crate::coordination::node::Node;
 use crate::coordination::requests::{self, Ask, Reply};
-use crate::coordination::shard::ReportOutcome;
+use crate::coordination::shard::{ReportOutcome, keeper_commands};
 use crate::protocol::workers::{Redirect, Report, ReportAnswer};
 
 /// Largest request body.
@@ -107,7 +107,7 @@
         Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
         None => {
             if let Some(term) = node.keeps(report.term) {
-                let commands = Vec::new();
+                let commands = keeper_commands(&report, |job| node.ledger.is_open(job));
                 return json(StatusCode::OK, &ReportAnswer { term, commands });
             }
             let owner = node.owner_label().filter(|label| label != node.label());
