--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -1,6 +1,6 @@
 //! One controller: its state, its loops and its servers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use crate::clock::{Clock, SteadyClock};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::peers::Pulse;
+use crate::protocol::workers::Report;
 use crate::settings::Settings;
 use crate::storage::client::{StateClient, StateError, backoff};
 use crate::storage::ledger::Ledger;
@@ -85,6 +86,16 @@
     pub activities: Activities,
 }
 
+/// The right to answer workers that the owner can't hear.
+#[derive(Debug, Clone, Copy)]
+pub struct Keeping {
+    /// The owner's term.
+    pub term: u64,
+    pub until: Instant,
+    /// The owner asks what they hold.
+    pub inventory: bool,
+}
+
 /// What a controller knows.
 #[derive(Default)]
 pub struct Inner {
@@ -106,7 +117,9 @@
     pub promised_until: Option<Instant>,
     /// The owner's term under which this node may answer workers that the
     /// owner can't hear, and until when.
-    pub keeping: Option<(u64, Instant)>,
+    pub keeping: Option<Keeping>,
+    /// What the kept workers reported under that term, to be written.
+    pub kept: BTreeMap<String, Report>,
     /// Until when this node should rather not own the shard.
     pub deaf_until: Option<Instant>,
 }
@@ -226,10 +239,17 @@
 
     /// The term under which this node may keep a worker for the owner, if the
     /// worker would take it.
-    pub fn keeps(&self, seen_term: u64) -> Option<u64> {
+    pub fn keeps(&self, report: &Report) -> Option<u64> {
         let now = self.now();
-        let (term, until) = self.lock().keeping?;
-        (now < until && seen_term <= term).then_some(term)
+        let mut inner = self.lock();
+        let keeping = inner.keeping?;
+        if now >= keeping.until || report.term > keeping.term {
+            return None;
+        }
+        if keeping.inventory && report.term == keeping.term {
+            inner.kept.insert(report.machine.clone(), report.clone());
+        }
+        Some(keeping.term)
     }
 
     /// The tenure of this node, live or not.
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -7,15 +7,16 @@
 use hyper::Method;
 
 use super::lease::KEEPING;
-use super::node::{Node, PeerView, STATE_DEADLINE};
+use super::node::{Keeping, Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
 use crate::protocol::peers::{
     PeerAnswer, PeerRequest, Progress, Pulse, decode_answer, encode_request,
 };
 use crate::protocol::state::{Change, Txn};
+use crate::protocol::workers::Report;
 use crate::settings::platform::Peer;
 use crate::storage::keys;
-use crate::storage::records::{HearingRecord, KeeperRecord, VERSION};
+use crate::storage::records::{HearingRecord, InventoryRecord, KeeperRecord, VERSION};
 
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_secs(1);
@@ -39,6 +40,8 @@
 const KEEPING_LOOK: Duration = Duration::from_millis(500);
 /// How long before its time a keeper stops, to cover a busy processor.
 const KEEPING_MARGIN: Duration = Duration::from_millis(100);
+/// Room left in a page of what kept workers hold.
+const INVENTORY_FRAME: usize = 96;
 /// Age up to which a hearing record counts.
 const HEARING_FRESH_MS: u64 = 5000;
 /// How long a node that couldn't hear the workers leaves the shard to others.
@@ -362,9 +365,78 @@
             }
         }
         for label in unreached.iter().filter(|label| heard.contains_key(*label)) {
-            shard.lend(label);
+            shard.lend(label, now);
         }
     });
+    let wanted = node.with_shard(&tenure, "loans", |shard, _| shard.wants_inventories());
+    if wanted != Some(true) {
+        return;
+    }
+    let prefix = keys::inventory_prefix();
+    let Ok((pages, _)) = node.state.list(&prefix, STATE_DEADLINE).await else {
+        return;
+    };
+    node.with_shard(&tenure, "loans", |shard, now| {
+        for page in pages {
+            match serde_json::from_value::<InventoryRecord>(page.value) {
+                Ok(page) => page
+                    .reports
+                    .iter()
+                    .for_each(|report| shard.relayed(report, now)),
+                Err(error) => tracing::error!(key = page.key, %error, "a record can't be read"),
+            }
+        }
+    });
+}
+
+/// Writes what kept workers hold, those that were not written before; returns
+/// the number of the next page.
+async fn write_inventory(node: &Node, term: u64, mut page: u32) -> u32 {
+    loop {
+        let record = InventoryRecord {
+            v: VERSION,
+            term,
+            reports: next_reports(node),
+        };
+        let Ok(value) = serde_json::to_value(&record) else {
+            return page;
+        };
+        if record.reports.is_empty() {
+            return page;
+        }
+        let key = keys::inventory(node.label(), page);
+        page += 1;
+        let txn = Txn::default().change(Change::put(key, value));
+        if node.state.txn(&txn, STATE_DEADLINE).await.is_err() {
+            // Written or not, the next try writes another page.
+            let mut inner = node.lock();
+            for report in record.reports {
+                inner.kept.entry(report.machine.clone()).or_insert(report);
+            }
+            return page;
+        }
+    }
+}
+
+/// Takes as many reports of kept workers as fit on a page.
+fn next_reports(node: &Node) -> Vec<Report> {
+    let room = (node.settings.platform.settings.state.value_kb * 1024.0) as usize;
+    let mut reports = Vec::new();
+    let mut bytes = INVENTORY_FRAME;
+    let mut inner = node.lock();
+    while let Some(next) = inner.kept.first_entry() {
+        let size = serde_json::to_vec(next.get()).map_or(room, |text| text.len() + 1);
+        if bytes + size > room && !reports.is_empty() {
+            break;
+        }
+        let report = next.remove();
+        // One that fits no page has to be accounted for otherwise.
+        if bytes + size <= room {
+            bytes += size;
+            reports.push(report);
+        }
+    }
+    reports
 }
 
 /// The zones that have controllers, but none outside this set.
@@ -383,12 +455,25 @@
     zones
 }
 
+/// Notes what may be kept from now on; true if it is kept for a new owner.
+fn note_keeping(node: &Node, keeping: Option<Keeping>) -> bool {
+    let term = |keeping: Option<Keeping>| keeping.map(|keeping| keeping.term);
+    let mut inner = node.lock();
+    let changed = term(inner.keeping) != term(keeping);
+    if changed {
+        inner.kept.clear();
+    }
+    inner.keeping = keeping;
+    changed && keeping.is_some()
+}
+
 /// Keeps workers for an owner that can't hear them, while it lends that.
 pub async fn keep_workers(node: Arc<Node>) {
+    let mut page = 0;
     loop {
         tokio::time::sleep(KEEPING_LOOK).await;
         if heard_without_owner(&node) == 0 {
-            node.lock().keeping = None;
+            note_keeping(&node, None);
             continue;
         }
         let sent = node.now();
@@ -401,17 +486,24 @@
         };
         let find = |key: String| items.iter().find(|item| item.key == key);
         let lent = find(keys::keeper(node.label()))
-            .and_then(|item| serde_json::from_value::<KeeperRecord>(item.value.clone()).ok())
-            .map(|record| record.term);
+            .and_then(|item| serde_json::from_value::<KeeperRecord>(item.value.clone()).ok());
         // A loan ends with the term of the owner that gave it.
         let term = find(keys::owner())
             .map(|item| item.version)
-            .filter(|term| lent == Some(*term));
+            .filter(|term| lent.as_ref().is_some_and(|loan| loan.term == *term));
         let until = sent + KEEPING.mul_f64(0.998) - KEEPING_MARGIN;
-        let mut inner = node.lock();
-        let began = inner.keeping.is_none() && term.is_some();
-        inner.keeping = term.map(|term| (term, until));
-        drop(inner);
+        let inventory = lent.is_some_and(|loan| loan.inventory);
+        let keeping = term.map(|term| Keeping {
+            term,
+            until,
+            inventory,
+        });
+        let began = note_keeping(&node, keeping);
+        if let Some(term) = term
+            && inventory
+        {
+            page = write_inventory(&node, term, page).await;
+        }
         if began {
             tracing::info!(term, "keeping workers that the owner can't hear");
         }
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -56,6 +56,7 @@
             fleet: Fleet::default(),
             writes: writes::Writer::default(),
             loans: Default::default(),
+            lending_since: None,
             cut_off: BTreeSet::new(),
             // A task's attempt number never repeats, whatever was lost: the
             // term is in it.
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -171,12 +171,6 @@
         // When much is silent at once, the trouble is more likely ours.
         let many = silent > 1 && silent * 3 > expected.len();
         let soon = self.policy.report.mul_f64(1.4);
-        // What may be cut off with its zone is better kept by a controller
-        // there; but what nobody accounts for holds up all that is lost.
-        let wait = |m: &Machine| {
-            self.others_keep()
-                || (self.cut_off.contains(&*m.zone) && !self.unresolved.contains(&m.id))
-        };
         let lost: Vec<(MachineId, &str)> = expected
             .iter()
             .filter_map(|m| {
@@ -187,7 +181,7 @@
                 } else if silence >= self.policy.abandon
                     && m.unanswered >= PROBES_TO_ABANDON
                     && !many
-                    && !wait(m)
+                    && !self.left_to_keepers(m, now)
                 {
                     Some((m.id.clone(), "its worker is silent"))
                 } else if now > m.lease_over
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::commands::stop;
-use super::{Fact, Shard};
+use super::{Fact, Machine, Shard};
 use crate::coordination::lease::KEEPING;
 use crate::protocol::state::Change;
 use crate::protocol::workers::{Command, Report, TaskState};
@@ -21,6 +21,10 @@
 /// Our clock may run fast against the keeper's.
 const DRIFT: f64 = 1.002;
 
+/// How long keepers have to account for their workers: a report or two, and the
+/// writing and reading of what they say.
+const INVENTORY_WAIT: Duration = Duration::from_secs(12);
+
 /// How a loan stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Loan {
@@ -59,17 +63,19 @@
         self.loans.iter().filter_map(lent).collect()
     }
 
-    /// Lends the keeping of silent workers to a controller that hears them.
-    /// Not before this owner knows what is on all machines: what the keeper
-    /// keeps alive could not be accounted for.
-    pub fn lend(&mut self, label: &str) {
-        if self.has_lent_to(label) || !self.unresolved.is_empty() {
+    /// Lends the keeping of silent workers to a controller that hears them. If
+    /// this owner doesn't know yet what is on all machines, the keeper is asked
+    /// to write what its workers hold.
+    pub fn lend(&mut self, label: &str, now: Instant) {
+        if self.has_lent_to(label) {
             return;
         }
         let record = KeeperRecord {
             v: VERSION,
             term: self.term,
+            inventory: !self.unresolved.is_empty(),
         };
+        self.lending_since.get_or_insert(now);
         let Ok(value) = serde_json::to_value(record) else {
             return;
         };
@@ -84,6 +90,36 @@
         self.restless = true;
     }
 
+    /// Whether a keeper may write what this owner has to know.
+    pub fn wants_inventories(&self) -> bool {
+        self.others_keep() && !self.unresolved.is_empty()
+    }
+
+    /// A report that a worker gave to its keeper, perhaps a while ago. It tells
+    /// what is on the machine, not that the machine can be reached.
+    pub fn relayed(&mut self, report: &Report, now: Instant) {
+        let id = report.machine.as_str();
+        if report.term != self.term || !self.unresolved.contains(id) {
+            return;
+        }
+        let heard = self.machines.get(id).and_then(|machine| machine.heard);
+        self.apply_report(report, now);
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.heard = heard;
+        }
+    }
+
+    /// Whether a silent machine is better left alone: it may be cut off with
+    /// its zone, and be kept there. But what no keeper has accounted for in
+    /// time holds up all work that may have been on it.
+    pub(super) fn left_to_keepers(&self, machine: &Machine, now: Instant) -> bool {
+        if !self.unresolved.contains(&machine.id) {
+            return self.others_keep() || self.cut_off.contains(&*machine.zone);
+        }
+        self.lending_since
+            .is_some_and(|since| now.saturating_duration_since(since) < INVENTORY_WAIT)
+    }
+
     /// Ends a loan: the keeper can be reached again, or hears nobody.
     pub fn recall(&mut self, label: &str) {
         if !self.has_lent_to(label) {
@@ -125,6 +161,9 @@
             return;
         }
         self.loans.retain(|_, loan| !over(loan));
+        if self.loans.is_empty() {
+            self.lending_since = None;
+        }
         let lease_over = now + self.policy.lease_surely_over();
         for id in self.machines.ids(|m| m.lease_over < lease_over) {
             if let Some(machine) = self.machines.get_mut(&id) {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -198,6 +198,8 @@
     fleet: fleet::Fleet,
     writes: writes::Writer,
     loans: keeping::Loans,
+    /// Since when something has been lent without a break.
+    lending_since: Option<Instant>,
     /// Zones all of whose controllers can't be reached: likely cut off.
     cut_off: BTreeSet<String>,
     next_take: u64,
--- a/src/storage/keys.rs
+++ b/src/storage/keys.rs
@@ -37,6 +37,16 @@
     format!("o/{SHARD}/keep/{label}")
 }
 
+/// Prefix of what keepers say that their workers hold.
+pub fn inventory_prefix() -> String {
+    format!("k/{SHARD}/")
+}
+
+/// One page of what a keeper says that its workers hold.
+pub fn inventory(label: &str, page: u32) -> String {
+    format!("k/{SHARD}/{label}/{page:04}")
+}
+
 /// The shard's sequence number.
 pub fn sequence() -> String {
     format!("s/{SHARD}/seq")
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -4,6 +4,7 @@
 
 use crate::protocol::cloud::Rental;
 use crate::protocol::users::{JobSpec, Stage};
+use crate::protocol::workers::Report;
 
 /// The only shard so far: keys and interfaces carry it, one owner runs it.
 pub const SHARD: u32 = 0;
@@ -58,6 +59,17 @@
 pub struct KeeperRecord {
     pub v: u32,
     pub term: u64,
+    /// The owner asks what those workers hold.
+    #[serde(default)]
+    pub inventory: bool,
+}
+
+/// What some workers hold, as they reported under a term to their keeper.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct InventoryRecord {
+    pub v: u32,
+    pub term: u64,
+    pub reports: Vec<Report>,
 }
 
 /// The shard's sequence number.
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -106,7 +106,7 @@
         }
         Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
         None => {
-            if let Some(term) = node.keeps(report.term) {
+            if let Some(term) = node.keeps(&report) {
                 let commands = keeper_commands(&report, |job| node.ledger.is_open(job));
                 return json(StatusCode::OK, &ReportAnswer { term, commands });
             }
