After a take-over nothing looks idle too soon, and the last few are not waited for

Cause: machines whose work nobody had accounted for were emptied and given back as idle, 695 of them within three seconds; one machine taken just before a crash held up all work of old jobs for nine seconds; where capacity is held for guarantees, services were moved 23 at a time.

--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -27,7 +27,13 @@
     /// Goes on with the machines that services leave, and may pick the next ones.
     /// What else runs on those picked before ends by itself.
     pub(super) fn consolidate(&mut self, bins: &[Bin], pick: bool, now: Instant) {
-        let at_once = 1 + self.machines.len() / ONE_IN;
+        // Where capacity is held for guarantees, moving little is worth more
+        // than a machine less.
+        let at_once = if self.policy.holds_capacity() {
+            1
+        } else {
+            1 + self.machines.len() / ONE_IN
+        };
         let draining = self.machines.ids(|m| m.draining && !m.deleting);
         let mut leaving: Vec<MachineId> = draining
             .iter()
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -28,6 +28,9 @@
 /// Probes that must go unanswered before a silent machine is given back.
 const PROBES_TO_ABANDON: u32 = 2;
 
+/// One in so many machines counts as few.
+const FEW_LEFT: usize = 20;
+
 /// Names of machines that are gone are kept at least this long.
 const REMEMBER_GONE: Duration = Duration::from_secs(900);
 
@@ -171,6 +174,9 @@
         // When much is silent at once, the trouble is more likely ours.
         let many = silent > 1 && silent * 3 > expected.len();
         let soon = self.policy.report.mul_f64(1.4);
+        // The last few that nobody can account for hold up all that waits; when
+        // most are accounted for, the trouble is not ours.
+        let few = self.unresolved.len() * FEW_LEFT <= expected.len().max(FEW_LEFT * 2);
         let lost: Vec<(MachineId, &str)> = expected
             .iter()
             .filter_map(|m| {
@@ -178,6 +184,12 @@
                 let taken = m.vanished || m.notice.is_some_and(|at| at <= now);
                 if taken && silence >= soon {
                     Some((m.id.clone(), "the cloud has taken it"))
+                } else if few
+                    && self.unresolved.contains(&m.id)
+                    && m.unanswered >= PROBES_TO_ABANDON
+                    && !self.left_to_keepers(m, now)
+                {
+                    Some((m.id.clone(), "it alone is not accounted for"))
                 } else if silence >= self.policy.abandon
                     && m.unanswered >= PROBES_TO_ABANDON
                     && !many
@@ -433,6 +445,7 @@
             if machine.condemned || machine.draining || machine.notice.is_some() {
                 back.push((machine.id.clone(), "it is empty and gets no more tasks"));
             } else if idle
+                && self.unresolved.is_empty()
                 && spare.contains(&machine.id)
                 && age + Duration::from_secs(5) > LEAST_CHARGE
             {
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -211,7 +211,11 @@
         let growing = wanted.keys().any(|(_, _, spot)| !spot)
             || self.fleet.bookings.values().any(|b| !b.rental.spot);
         self.reopen(&bins);
-        self.consolidate(&bins, !growing, now);
+        // Work that nobody has accounted for yet is in no plan.
+        let accounted = self.unresolved.is_empty();
+        if accounted {
+            self.consolidate(&bins, !growing, now);
+        }
         for ((machine_type, zone, spot), count) in wanted {
             self.book(machine_type, zone, spot, count.min(MOST_PER_RENTAL));
         }
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -819,3 +819,52 @@
     };
     assert_eq!(commands, vec![stop]);
 }
+
+/// Found at full size: a machine taken just before its owner crashed held up all
+/// work of old jobs for nine seconds.
+#[test]
+fn the_last_machine_that_answers_nothing_is_given_back_soon() {
+    let ids: Vec<String> = (0..30).map(|n| format!("vm-{n:02}")).collect();
+    let mut script = Script::new(Loaded {
+        roster: ids.iter().map(|id| roster(id)).collect(),
+        ..Loaded::default()
+    });
+    for step in 0..4 {
+        for probe in script.probes() {
+            let answered = &*probe.0 != "vm-00" && (step > 0 || &*probe.0 < "vm-15");
+            let report = script.report_of(&probe.0, TERM, Vec::new());
+            let outcome = if answered {
+                CommandOutcome::Executed(report)
+            } else {
+                CommandOutcome::NoAnswer
+            };
+            script.answered(&probe, outcome);
+        }
+        let given_back = script.machine("vm-00").deleting;
+        assert!(step > 0 || !given_back, "half of them are unaccounted for");
+        script.pass(Duration::from_millis(1100));
+    }
+    assert!(script.machine("vm-00").deleting);
+    assert!(!script.machine("vm-20").deleting);
+}
+
+/// Found at full size: after a take-over during a cut, hundreds of machines whose
+/// work nobody had accounted for looked idle and were given back.
+#[test]
+fn nothing_is_given_back_as_idle_while_machines_are_unaccounted_for() {
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), TERM - 1, record(spec("red", 8.0, 2)))],
+        roster: ["vm-0", "vm-1", "vm-2", "vm-3"].map(roster).into(),
+        ..Loaded::default()
+    });
+    // Their keeper keeps vm-0 and vm-3 alive, but says nothing of them.
+    script.shard.lend("beta", script.now);
+    for _ in 0..80 {
+        script.report("vm-1", Vec::new());
+        script.report("vm-2", Vec::new());
+        script.pass(Duration::from_secs(1));
+    }
+    assert!(script.shard.wants_inventories(), "two are unaccounted for");
+    let kept = ["vm-1", "vm-2"].map(|id| !script.machine(id).deleting);
+    assert_eq!(kept, [true, true], "run-1 may need both");
+}
