Writes for users take turns at a steady rate in each controller

Cause: at the start hundreds of submissions were refused and tried again at once, and the owner's own requests were refused with them: 17 to 20 s without an owner.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -18,6 +18,7 @@
 use crate::protocol::peers::Pulse;
 use crate::protocol::workers::Report;
 use crate::settings::Settings;
+use crate::storage::budget::Turns;
 use crate::storage::client::{StateClient, StateError, backoff};
 use crate::storage::ledger::Ledger;
 use crate::storage::records::OwnerRecord;
@@ -40,9 +41,12 @@
 /// must not hold up commands to the others.
 const MOST_PROBES: usize = 32;
 
-/// Writes for users under way at once: what the state service can't take at
-/// once waits here instead of being refused there again and again.
-const MOST_USER_WRITES: usize = 6;
+/// Share of the state service's writes that one controller asks for on users'
+/// behalf: what it can't take at once waits here, and stands in nobody's way
+/// there. It is more than an equal share, since users come unevenly.
+const USER_WRITE_SHARE: f64 = 0.5;
+/// Longest wait for a turn to write; who would wait longer is told at once.
+const LONGEST_TURN: Duration = Duration::from_millis(2500);
 
 /// Shares of the sockets, in percent, for the two servers; the rest is for
 /// connections to others.
@@ -137,8 +141,8 @@
     /// Batches of commands, and probes, that may be under way to workers.
     pub commands: Semaphore,
     pub probes: Semaphore,
-    /// Writes for users that may be under way.
-    pub user_writes: Semaphore,
+    /// This controller's share of the writes, for users.
+    pub user_writes: Turns,
     pub peers_http: HttpClient,
     /// Tells this run of the process from earlier ones.
     pub run: u64,
@@ -151,6 +155,8 @@
         let state = StateClient::new(settings.platform.services.state, clock.clone());
         let started = clock.now();
         let ledger = Ledger::new(look_pace(&settings));
+        let rate = settings.platform.settings.state.write_rps * USER_WRITE_SHARE;
+        let user_writes = Turns::new(rate, LONGEST_TURN);
         Arc::new(Self {
             policy: Policy::new(&settings),
             settings,
@@ -160,7 +166,7 @@
             cloud_http: HttpClient::new(),
             workers_kept: HttpClient::keeping(WORKER_IDLE),
             workers_once: HttpClient::keeping(Duration::ZERO),
-            user_writes: Semaphore::new(MOST_USER_WRITES),
+            user_writes,
             commands: Semaphore::new(MOST_COMMANDS),
             probes: Semaphore::new(MOST_PROBES),
             peers_http: HttpClient::new(),
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -30,8 +30,6 @@
 const POLL_HEDGE: Duration = Duration::from_millis(600);
 /// Deadline of a request handed to a peer.
 const FORWARD: Duration = Duration::from_millis(900);
-/// Longest wait for a turn to write.
-const TURN: Duration = Duration::from_millis(1500);
 /// Tries after a 429, which only means that others are being served.
 const BUSY_TRIES: u32 = 4;
 
@@ -161,7 +159,7 @@
         })
         .await;
         // Others are as busy; what waits for its turn here has it soonest here.
-        while node.user_writes.available_permits() == 0 {
+        while node.user_writes.queue(node.now()) > Duration::ZERO {
             tokio::time::sleep(HEDGE).await;
         }
         hand_on(node, &ask).await
@@ -249,10 +247,10 @@
 
 /// Writes for a user in turn; who would wait for too long is told to come back.
 async fn user_write(node: &Node, txn: &Txn) -> Result<TxnOutcome, StateError> {
-    let turn = tokio::time::timeout(TURN, node.user_writes.acquire()).await;
-    let Ok(Ok(_turn)) = turn else {
+    let Some(wait) = node.user_writes.take(node.now()) else {
         return Err(StateError::Refused("busy"));
     };
+    tokio::time::sleep(wait).await;
     patient(|| node.state.txn(txn, STORE)).await
 }
 
--- /dev/null
+++ b/src/storage/budget.rs
@@ -0,0 +1,73 @@
+//! Turns at the state service: a steady rate with bursts of a second's worth.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How far ahead of the steady rate a burst may run.
+const BURST: Duration = Duration::from_secs(1);
+
+/// Gives out turns in order, each with the time to wait for it.
+pub struct Turns {
+    /// Between two turns.
+    pause: Duration,
+    /// Longest wait that is given out.
+    longest: Duration,
+    /// When the next turn is due by the steady rate.
+    next: Mutex<Option<Instant>>,
+}
+
+impl Turns {
+    /// So many turns a second, and at most so long a wait.
+    pub fn new(rate: f64, longest: Duration) -> Self {
+        let pause = Duration::from_secs_f64(1.0 / rate.max(0.01));
+        Self {
+            pause,
+            longest,
+            next: Mutex::new(None),
+        }
+    }
+
+    /// Takes the next turn: how long to wait for it. None if that is too long.
+    pub fn take(&self, now: Instant) -> Option<Duration> {
+        let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = next.unwrap_or(now);
+        let wait = due.saturating_duration_since(now);
+        if wait > self.longest {
+            return None;
+        }
+        // Turns that nobody took are kept for a burst.
+        let earliest = now.checked_sub(BURST).unwrap_or(now);
+        *next = Some(due.max(earliest) + self.pause);
+        Some(wait)
+    }
+
+    /// How long the next turn would have to wait.
+    pub fn queue(&self, now: Instant) -> Duration {
+        let next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        next.map_or(Duration::ZERO, |due| due.saturating_duration_since(now))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_burst_passes_then_turns_wait_and_too_long_waits_are_refused() {
+        let turns = Turns::new(10.0, Duration::from_millis(300));
+        let start = Instant::now();
+        let mut now = start;
+        assert_eq!(turns.take(now), Some(Duration::ZERO));
+        now += Duration::from_secs(60);
+        for _ in 0..11 {
+            assert_eq!(turns.take(now), Some(Duration::ZERO));
+        }
+        for wait in [100, 200, 300] {
+            assert_eq!(turns.take(now), Some(Duration::from_millis(wait)));
+        }
+        assert_eq!(turns.take(now), None);
+        assert_eq!(turns.queue(now), Duration::from_millis(400));
+        now += Duration::from_millis(400);
+        assert_eq!(turns.take(now), Some(Duration::ZERO));
+    }
+}
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,5 +1,6 @@
 //! Hard facts and snapshots in the state service.
 
+pub mod budget;
 pub mod client;
 pub mod facts;
 pub mod keys;
