--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -205,7 +205,11 @@
         tokio::time::sleep(ROUND).await;
         tell_hearing(&node).await;
         lend_and_recall(&node).await;
-        deaf = if is_deaf(&node).await { deaf + 1 } else { 0 };
+        deaf = match hearing(&node).await {
+            Hearing::Enough => 0,
+            Hearing::Less => deaf + 1,
+            Hearing::FarLess => DEAF_ROUNDS,
+        };
         let Some(tenure) = node.tenure() else {
             continue;
         };
@@ -510,20 +514,28 @@
     }
 }
 
-/// Whether this owner hears too few workers while a peer hears more.
-async fn is_deaf(node: &Node) -> bool {
+/// How many workers this owner hears, against the peer that hears most.
+enum Hearing {
+    Enough,
+    /// Fewer than half of them, and fewer than a peer.
+    Less,
+    /// Fewer than half of what a peer hears: there is nothing to wait for.
+    FarLess,
+}
+
+async fn hearing(node: &Node) -> Hearing {
     let now = node.now();
     let (heard, by_pulse) = {
         let inner = node.lock();
         let Some(own) = &inner.ownership else {
-            return false;
+            return Hearing::Enough;
         };
         if !own.tenure.live(now) || now.saturating_duration_since(own.tenure.since) < LISTENING {
-            return false;
+            return Hearing::Enough;
         }
         let (heard, expected) = own.shard.hearing(now);
         if expected < 2 || heard * 2 >= expected {
-            return false;
+            return Hearing::Enough;
         }
         let by_pulse = inner
             .peers
@@ -544,7 +556,11 @@
         by_record,
         "this owner hears too few workers"
     );
-    by_pulse > heard || by_record > heard
+    match by_pulse.max(by_record) {
+        most if most > heard * 2 => Hearing::FarLess,
+        most if most > heard => Hearing::Less,
+        _ => Hearing::Enough,
+    }
 }
 
 /// Whether a peer in the zone of most machines could run the shard instead.
