--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -26,11 +26,9 @@
 /// Rounds for which an owner must hear too little before it gives up.
 const DEAF_ROUNDS: u32 = 2;
 /// How long an owner stays at the least before it hands over to a nearer one.
-const LEAST_TENURE: Duration = Duration::from_secs(20);
-/// How long a nearer one has to be up first.
-const LEAST_UP: Duration = Duration::from_secs(3);
+const LEAST_TENURE: Duration = Duration::from_secs(6);
 /// How long it stays while work waits: a change of owners makes it wait longer.
-const LONGEST_BUSY: Duration = Duration::from_secs(60);
+const LONGEST_BUSY: Duration = Duration::from_secs(15);
 /// How long a new owner listens before it may call itself deaf: every machine
 /// was asked for a report at once.
 const LISTENING: Duration = Duration::from_secs(2);
@@ -584,7 +582,7 @@
                 && view.pulse.zone == *main
                 && view.pulse.state_served
                 && !view.pulse.deaf
-                && view.pulse.up_s > LEAST_UP.as_secs()
+                && view.pulse.up_s > LEAST_TENURE.as_secs() / 2
         })
 }
 
