--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -80,15 +80,6 @@
     }
 }
 
-impl Usage {
-    /// What a task that is to stop uses is as good as free.
-    pub fn drop(&mut self, spec: &JobSpec) {
-        if let Some(used) = self.teams.get_mut(&spec.team) {
-            used.take(spec);
-        }
-    }
-}
-
 /// What a machine has of an image.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Holding {
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -1,16 +1,14 @@
 //! Making room for work that comes first.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::machines::Amounts;
-use super::placement::{Pass, Slot, Usage, allowed};
+use super::placement::{Pass, Usage, allowed};
 use super::{Attempt, Job, Machine, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
 
-/// Attempts on one machine, with what they use.
-type Victims = Vec<((TaskId, u64), Arc<JobSpec>)>;
+/// Attempts on one machine.
+type Victims = Vec<(TaskId, u64)>;
 
 /// What a stopped service is reckoned to lose.
 const SERVICE_HARM: Duration = Duration::from_secs(3600);
@@ -18,15 +16,12 @@
 const YOUNG: Duration = Duration::from_secs(30);
 /// Jobs looked at in one pass.
 const MOST_JOBS: usize = 8;
-/// Tasks of one job for which room is made in one pass.
-const MOST_AT_ONCE: u32 = 16;
 
 impl Shard {
     /// Stops what may be stopped for jobs that found no room, the cheapest
     /// lost work first. The room is given out by later passes, in order.
     pub(super) fn preempt(&mut self, stuck: &[JobId], pass: &Pass, now: Instant) {
         let mut usage = pass.usage.clone();
-        let mut coming = self.room_to_come(pass);
         for id in stuck.iter().take(MOST_JOBS) {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -39,107 +34,47 @@
                 }
                 continue;
             }
-            // Tasks that depend on one another's zones come one by one.
-            let together = !spec.one_zone && !spec.scatter;
-            let mut wanted = if together {
-                job.waiting().min(MOST_AT_ONCE)
-            } else {
-                1
-            };
-            let places = self.places_for(job, pass);
-            for at in &places {
-                while wanted > 0 && coming[*at].holds(&spec) && self.within_limit(&usage, &spec) {
-                    coming[*at].take(&spec);
-                    usage.add(&spec, 1);
-                    wanted -= 1;
-                }
-            }
-            if wanted == 0 {
-                continue;
-            }
             let guaranteed = self.within_guarantee(&usage, &spec);
-            let choices = self.victims_by_cost(&spec, guaranteed, &places, pass, &usage, now);
-            for (_, at, victims) in choices {
-                let still = self.within_limit(&usage, &spec)
-                    && guaranteed == self.within_guarantee(&usage, &spec)
-                    && victims
-                        .iter()
-                        .all(|(_, other)| self.may_stop(&spec, other, guaranteed, &usage));
-                if wanted == 0 || !still {
-                    break;
-                }
-                for (key, other) in victims {
-                    self.stop_for_room(&pass.slots[at].id, &key, &spec);
-                    coming[at].give(&other);
-                    usage.drop(&other);
-                }
-                while wanted > 0 && coming[at].holds(&spec) {
-                    coming[at].take(&spec);
-                    usage.add(&spec, 1);
-                    wanted -= 1;
-                }
-            }
-        }
-    }
-
-    /// The room on each slot once all that is to stop there has stopped.
-    fn room_to_come(&self, pass: &Pass) -> Vec<Amounts> {
-        let room = |slot: &Slot| {
-            let mut room = slot.free;
-            if let Some(machine) = self.machines.get(&slot.id)
-                && machine.tally.stopping
+            if let Some((machine, victims)) =
+                self.cheapest_victims(job, guaranteed, &usage, pass, now)
             {
-                let stopping = |a: &&Attempt| !a.ended() && a.stop.is_some();
-                for attempt in machine.attempts.values().filter(stopping) {
-                    if let Some(spec) = &attempt.spec {
-                        room.give(spec);
-                    }
+                for key in victims {
+                    self.stop_for_room(&machine, &key, &spec);
                 }
+                usage.add(&spec, 1);
             }
-            room
-        };
-        pass.slots.iter().map(room).collect()
+        }
     }
 
-    /// Where a job's next task may go, whatever is there now.
-    fn places_for(&self, job: &Job, pass: &Pass) -> Vec<usize> {
+    /// The victims on one machine that make room for one task, or an empty
+    /// list if room is being made there already.
+    fn cheapest_victims(
+        &self,
+        job: &Job,
+        guaranteed: bool,
+        usage: &Usage,
+        pass: &Pass,
+        now: Instant,
+    ) -> Option<(MachineId, Victims)> {
         let spec = &job.spec;
         let zones = self.live_zones(job);
-        let fits = |at: usize, slot: &Slot| {
+        let mut best: Option<(Duration, MachineId, Victims)> = None;
+        for (at, slot) in pass.slots.iter().enumerate() {
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
                 && (!spec.scatter
                     || zones.get(&slot.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2));
             let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, pass, at);
-            zone_ok
-                && !late
-                && self.worth_it(job, slot)
-                && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-        };
-        let slots = pass.slots.iter().enumerate();
-        slots
-            .filter(|(at, slot)| fits(*at, slot))
-            .map(|(at, _)| at)
-            .collect()
-    }
-
-    /// For each of these slots the victims that make room for one task, cheapest
-    /// first.
-    fn victims_by_cost(
-        &self,
-        spec: &JobSpec,
-        guaranteed: bool,
-        places: &[usize],
-        pass: &Pass,
-        usage: &Usage,
-        now: Instant,
-    ) -> Vec<(Duration, usize, Victims)> {
-        let mut choices = Vec::new();
-        for at in places {
-            let slot = &pass.slots[*at];
-            let Some(machine) = self.machines.get(&slot.id) else {
+            if !zone_ok
+                || late
+                || !self.worth_it(job, slot)
+                || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+            {
                 continue;
-            };
-            if !guaranteed && !machine.tally.has_lesser(spec.priority) {
+            }
+            let machine = self.machines.get(&slot.id)?;
+            let tally = &machine.tally;
+            let room = slot.free.holds(spec) || tally.stopping;
+            if !(room || guaranteed || tally.has_lesser(spec.priority)) {
                 continue;
             }
             let mut free = slot.free;
@@ -148,27 +83,33 @@
                 let Some(other) = &attempt.spec else {
                     continue;
                 };
-                if attempt.stop.is_none() && self.may_stop(spec, other, guaranteed, usage) {
-                    candidates.push((other.priority, harm(attempt, now), key, other));
+                if attempt.stop.is_some() {
+                    free.give(other);
+                } else if self.may_stop(spec, other, guaranteed, usage) {
+                    candidates.push((other.priority, harm(attempt, now), key, attempt));
                 }
             }
+            if free.holds(spec) {
+                return Some((slot.id.clone(), Vec::new()));
+            }
             candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
             let mut cost = Duration::ZERO;
             let mut victims = Vec::new();
-            for (_, lost, key, other) in candidates {
+            for (_, lost, key, attempt) in candidates {
                 if free.holds(spec) {
                     break;
                 }
-                free.give(other);
-                cost += lost;
-                victims.push((key.clone(), other.clone()));
+                if let Some(other) = &attempt.spec {
+                    free.give(other);
+                    cost += lost;
+                    victims.push(key.clone());
+                }
             }
-            if free.holds(spec) && !victims.is_empty() {
-                choices.push((cost, *at, victims));
+            if free.holds(spec) && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, slot.id.clone(), victims));
             }
         }
-        choices.sort_by_key(|(cost, at, _)| (*cost, *at));
-        choices
+        best.map(|(_, machine, victims)| (machine, victims))
     }
 
     /// The cheapest task of lower priority of the same team, unless one is
