--- a/src/coordination/shard/book.rs
+++ b/src/coordination/shard/book.rs
@@ -132,6 +132,15 @@
             .collect()
     }
 
+    /// Whether every tally that is taken to hold does.
+    #[cfg(test)]
+    pub fn tallies_hold(&self) -> bool {
+        self.all
+            .values()
+            .filter(|machine| !self.changed.contains(&machine.id))
+            .all(|machine| machine.tally == Tally::of(machine))
+    }
+
     /// Counts the machines again that may have changed.
     pub fn refresh(&mut self) {
         for id in std::mem::take(&mut self.changed) {
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -73,6 +73,16 @@
         (self.spec.tasks + self.both).saturating_sub(self.done.len() + self.live.len() as u32)
     }
 
+    /// The waiting tasks, counted one by one.
+    #[cfg(test)]
+    pub fn recount_waiting(&self) -> u32 {
+        let waits = |n: &u32| !self.done.contains(*n) && !self.live.contains_key(n);
+        match self.over {
+            Some(_) => 0,
+            None => (0..self.spec.tasks).filter(waits).count() as u32,
+        }
+    }
+
     pub fn done(&self) -> &TaskSet {
         &self.done
     }
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -11,8 +11,8 @@
 use serde_json::Value;
 
 use crate::coordination::shard::{
-    Action, CommandOutcome, Loaded, LoadedMachine, Policy, RentalOutcome, ReportOutcome, Shard,
-    ShardWrite, TeamPolicy,
+    Action, CommandOutcome, Job, Loaded, LoadedMachine, Policy, RentalOutcome, ReportOutcome,
+    Shard, ShardWrite, TeamPolicy,
 };
 use crate::protocol::cloud::{Listed, ListedState, MachineType, Rental};
 use crate::protocol::users::{JobKind, JobSpec, Priority, Stage};
@@ -1057,9 +1057,24 @@
             if ticks.is_multiple_of(30) {
                 self.list();
                 self.check_cancelled();
+                self.check_counts();
             }
         }
     }
+
+    /// What is counted as it changes must equal a full recount.
+    fn check_counts(&mut self) {
+        let Some(owner) = &self.owner else {
+            return;
+        };
+        let tallies = owner.shard.machines().tallies_hold();
+        let wrong = |job: &&Job| job.waiting() != job.recount_waiting();
+        let wrong = owner.shard.jobs().values().find(wrong);
+        let wrong = wrong.map(|job| job.id.to_string());
+        if !tallies || wrong.is_some() {
+            self.broke("counts", format!("tallies hold: {tallies}, job: {wrong:?}"));
+        }
+    }
 }
 
 impl World {
