--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -27,6 +27,9 @@
 use crate::transport::limit::Limited;
 use crate::transport::{front, internal};
 
+/// How long another controller counts as heard.
+const PEER_HEARD: Duration = Duration::from_millis(2500);
+
 /// Deadline of ordinary state requests.
 pub const STATE_DEADLINE: Duration = Duration::from_millis(2500);
 
@@ -319,11 +322,18 @@
     pub fn peer_served(&self) -> bool {
         let now = self.now();
         self.lock().peers.values().any(|view| {
-            view.pulse.state_served
-                && now.saturating_duration_since(view.at) < Duration::from_millis(2500)
+            view.pulse.state_served && now.saturating_duration_since(view.at) < PEER_HEARD
         })
     }
 
+    /// Whether no other controller has been heard lately, though there are some.
+    pub fn alone(&self) -> bool {
+        let now = self.now();
+        let inner = self.lock();
+        let heard = |view: &PeerView| now.saturating_duration_since(view.at) < PEER_HEARD;
+        !self.settings.platform.others.is_empty() && !inner.peers.values().any(heard)
+    }
+
     /// What operators may want to know, as text.
     pub fn status(&self) -> String {
         let now = self.now();
@@ -372,12 +382,13 @@
     }
 
     /// Whether users should come here. When nobody is served, leaving the
-    /// balancer would only make the way back longer.
+    /// balancer would only make the way back longer; but who hears neither the
+    /// state service nor any other controller is cut off itself.
     pub fn ready(&self) -> bool {
         if self.lock().types.is_none() {
             return false;
         }
-        !(self.state_lost() && self.peer_served())
+        !(self.state_lost() && (self.peer_served() || self.alone()))
     }
 }
 
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -621,4 +621,28 @@
         node.lock().acquiring = true;
         assert!(!promise(&node, time), "an attempt of its own is under way");
     }
+
+    /// A controller that loses the state service and all others, but not its
+    /// workers: it answers neither users nor workers, and leaves the balancer.
+    #[tokio::test]
+    async fn a_controller_cut_off_from_all_is_unready_and_says_so_at_once() {
+        use crate::coordination::requests::{Ask, answer};
+        let clock = Arc::new(FakeClock::new());
+        let node = node(clock.clone());
+        node.lock().types = Some(Vec::new());
+        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+        let peer = Pulse {
+            label: "beta".into(),
+            ..Pulse::default()
+        };
+        heard_pulse(&node, peer.clone());
+        assert!(node.ready(), "an outage for all: nobody is served anyway");
+        clock.advance(Duration::from_secs(3));
+        assert!(!node.ready());
+        let reply = answer(&node, Ask::Poll("run-1".into()), false).await;
+        assert_eq!(reply.status, 503);
+        assert!(node.live_tenure().is_none() && node.owner_label().is_none());
+        heard_pulse(&node, peer);
+        assert!(node.ready());
+    }
 }
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -138,6 +138,9 @@
         if node.state_lost() && node.peer_served() {
             return hand_on(node, &ask).await;
         }
+        if node.state_lost() && node.alone() {
+            return Reply::unavailable("this controller is cut off");
+        }
     }
     let own = async {
         match (&ask, submission) {
