A new session accounts for nothing that an earlier owner started in it

A new owner heard a copy from an earlier session first; the worker's present session then looked like the end of all that might be there. A late report could do the same, so the fault is older than the copies.

--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -246,15 +246,9 @@
         self.restless = true;
     }
 
-    /// The machine holds nothing any more: its session or it itself is gone.
+    /// The machine holds nothing any more: its lease has ended, or it is gone.
     pub(super) fn empty_machine(&mut self, id: &MachineId, now: Instant) {
-        let keys: Vec<(TaskId, u64)> = match self.machines.get(id) {
-            Some(machine) => machine.attempts.keys().cloned().collect(),
-            None => return,
-        };
-        for key in keys {
-            self.remove_attempt(id, &key, now);
-        }
+        self.remove_attempts(id, now);
         if self.unresolved.remove(id) && self.unresolved.is_empty() {
             tracing::info!(
                 term = self.term,
@@ -264,6 +258,18 @@
         self.restless = true;
     }
 
+    /// Nothing that is on the books of a machine can exist any more. Something
+    /// else may be there, if it isn't accounted for.
+    pub(super) fn remove_attempts(&mut self, id: &MachineId, now: Instant) {
+        let keys: Vec<(TaskId, u64)> = match self.machines.get(id) {
+            Some(machine) => machine.attempts.keys().cloned().collect(),
+            None => return,
+        };
+        for key in keys {
+            self.remove_attempt(id, &key, now);
+        }
+    }
+
     /// Ends the sessions whose leases are surely over.
     pub(super) fn expire_leases(&mut self, now: Instant) {
         if self.others_keep() {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -97,7 +97,8 @@
             // We heard it, and still its lease ended: it may not hear us.
             machine.deaf = true;
             tracing::info!(machine = %id, session = report.session, "worker began a new session");
-            self.empty_machine(&id, now);
+            // What an earlier owner started in this session is not accounted for.
+            self.remove_attempts(&id, now);
         }
         self.take_notice(&id, report.notice_s, now);
         if report.term < self.term {
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -868,3 +868,51 @@
     let kept = ["vm-1", "vm-2"].map(|id| !script.machine(id).deleting);
     assert_eq!(kept, [true, true], "run-1 may need both");
 }
+
+/// Neither a copy of a report nor a list that lags brings a deleted machine back.
+#[test]
+fn a_copy_does_not_revive_a_deleted_machine() {
+    let mut script = Script::new(Loaded::default());
+    let copy = script.report_of("vm-1", TERM, Vec::new());
+    script.shard.report(&copy, script.now);
+    script.settle();
+    let gone: MachineId = "vm-1".into();
+    script
+        .shard
+        .deletion_answered(std::slice::from_ref(&gone), true, script.now);
+    script.submit("run-1", spec("blue", 1.0, 1));
+    for _ in 0..60 {
+        script.pass(Duration::from_secs(1));
+        let outcome = script.shard.report(&copy, script.now);
+        assert_eq!(outcome, ReportOutcome::Refuse);
+        script.settle();
+    }
+    assert!(script.shard.machines().get("vm-1").is_none());
+    assert!(script.launches().is_empty());
+}
+
+/// Found on a random day with copies: the first thing heard of a machine was a
+/// copy from an earlier session. The new session then looked like the end of all
+/// that might be there, but an earlier owner had started work in it.
+#[test]
+fn a_new_session_does_not_account_for_what_an_earlier_owner_started_in_it() {
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), TERM - 1, record(spec("blue", 1.0, 1)))],
+        roster: vec![roster("vm-1")],
+        ..Loaded::default()
+    });
+    script.report("vm-2", Vec::new());
+    let copy = script.report_of("vm-1", TERM - 1, Vec::new());
+    script.shard.report(&copy, script.now);
+    let mut real = script.report_of("vm-1", TERM - 1, Vec::new());
+    real.session = 2;
+    script.shard.report(&real, script.now);
+    script.settle();
+    assert!(script.launches().is_empty(), "run-1 may run in session 2");
+    let runs = vec![listed("run-1/0", 7, TaskState::Running, None)];
+    let mut synced = script.report_of("vm-1", TERM, runs);
+    synced.session = 2;
+    script.shard.report(&synced, script.now);
+    script.pass(Duration::from_secs(1));
+    assert!(script.launches().is_empty(), "it does");
+}
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -24,6 +24,8 @@
 
 pub const LEASE: Duration = Duration::from_secs(27);
 pub const CANCEL: Duration = Duration::from_secs(52);
+/// Share of the reports that come a second time.
+const COPIES: f64 = 0.1;
 pub const STEP: Duration = Duration::from_millis(100);
 
 pub fn spec(team: &str, cores: f64, tasks: u32) -> JobSpec {
@@ -164,6 +166,11 @@
         sent: Instant,
         report: Report,
     },
+    /// A report once more, seconds to well over a lease late; nobody waits for
+    /// its answer.
+    Copy {
+        report: Report,
+    },
     Answer {
         machine: String,
         sent: Instant,
@@ -555,6 +562,9 @@
                     });
                 }
             }
+            Message::Copy { report } => self.tell(|shard| {
+                shard.report(&report, now);
+            }),
             Message::Answer {
                 machine,
                 sent,
@@ -959,6 +969,11 @@
                 worker.next_report = now + Duration::from_millis(self.rng.random_range(2250..3750));
             }
             if let Some(report) = report {
+                if self.rng.random_bool(COPIES) {
+                    let late = Duration::from_millis(self.rng.random_range(1_000..60_000));
+                    let report = report.clone();
+                    self.later(late, Message::Copy { report });
+                }
                 self.send(Message::Report { sent: now, report });
             }
             for task in started {
