One place accounts for a machine, and one tells a running job from a pending one

The same lines stood where a lease ends and where a report accounts for a machine; the stage that the shard worked out for a poll was thrown away and worked out again. No change of behaviour.

--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -370,7 +370,7 @@
 fn progress(node: &Arc<Node>, id: &str) -> (u32, u32) {
     let inner = node.lock();
     let seen = match &inner.ownership {
-        Some(own) => own.shard.view(id).map(|(_, done, running)| (done, running)),
+        Some(own) => own.shard.view(id),
         None => inner.progress.get(id).copied(),
     };
     seen.unwrap_or_default()
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -249,13 +249,18 @@
     /// The machine holds nothing any more: its lease has ended, or it is gone.
     pub(super) fn empty_machine(&mut self, id: &MachineId, now: Instant) {
         self.remove_attempts(id, now);
+        self.account_for(id);
+        self.restless = true;
+    }
+
+    /// What an earlier owner may have started on a machine is known now.
+    pub(super) fn account_for(&mut self, id: &MachineId) {
         if self.unresolved.remove(id) && self.unresolved.is_empty() {
             tracing::info!(
                 term = self.term,
                 "every machine of the roster is accounted for"
             );
         }
-        self.restless = true;
     }
 
     /// Nothing that is on the books of a machine can exist any more. Something
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -3,9 +3,9 @@
 //! When zones are cut from one another, the owner lends the keeping of silent
 //! workers to a controller that hears them: it may answer their reports with
 //! the owner's term, so that their leases go on and what runs there runs on,
-//! and it stops what belongs to jobs that are over. Meanwhile no lease is taken to be over, and when the loan
-//! ends, leases count from the last moment at which the keeper may have
-//! answered.
+//! and it stops what belongs to jobs that are over. Meanwhile no lease is taken
+//! to be over, and when the loan ends, leases count from the last moment at
+//! which the keeper may have answered.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -32,7 +32,7 @@
 use std::time::{Duration, Instant};
 
 use crate::protocol::cloud::{MachineType, Rental};
-use crate::protocol::users::{JobKind, Stage};
+use crate::protocol::users::JobKind;
 use crate::protocol::workers::{Command, Report};
 use crate::protocol::{JobId, MachineId};
 use crate::settings::Settings;
@@ -293,8 +293,8 @@
             })
     }
 
-    /// A job's state for its user: stage, tasks done, tasks running.
-    pub fn view(&self, id: &str) -> Option<(Stage, u32, u32)> {
+    /// A job's tasks done and running, for its user.
+    pub fn view(&self, id: &str) -> Option<(u32, u32)> {
         let job = self.jobs.get(id).filter(|job| job.over.is_none())?;
         let runs = |(index, machine): &(&u32, &MachineId)| {
             self.machines.get(machine).is_some_and(|machine| {
@@ -304,12 +304,7 @@
             })
         };
         let running = job.live().iter().filter(runs).count() as u32;
-        let stage = if running > 0 {
-            Stage::Running
-        } else {
-            Stage::Pending
-        };
-        Some((stage, job.done().len(), running))
+        Some((job.done().len(), running))
     }
 
     /// Machines heard within the time of a report or two, and all that should
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -114,12 +114,7 @@
             tracing::debug!(machine = %id, "machine synced");
         }
         self.take_tasks(&id, &report.tasks, now);
-        if self.unresolved.remove(&id) && self.unresolved.is_empty() {
-            tracing::info!(
-                term = self.term,
-                "every machine of the roster is accounted for"
-            );
-        }
+        self.account_for(&id);
         self.admit(&id);
         self.restless = true;
     }
