Standing loans keep a cut zone's workers; what was seen and lost restarts at once

Ruled out: keepers that ask the store more often (there is none to ask), longer silence before machines are given back alone (the leases end all the same).

Change: an owner's answer to a pulse lends its sender the keeping of workers in advance, for cancel_s less the workers' lease; a lease is over only when that time is reckoned with; a cut zone's machines are left alone meanwhile, unless far more work waits to be accounted for than may be there; no machines are rented in a zone that is cut off. While machines are unaccounted for, tasks that were seen and lost start again.

--- a/deploy/operator.lisp
+++ b/deploy/operator.lisp
@@ -27,4 +27,10 @@
  (idle-s . 10.0)
  ;; How long a refused kind of machine is not asked for again [1 to 3600].
  (refused-s . 15.0)
+ ;; How long a controller that a cut takes from the state service and the owner
+ ;; goes on answering workers, so that their tasks live on, at the most [0 to
+ ;; 600]. It is never longer than cancel_s less the workers' lease: a job may be
+ ;; cancelled meanwhile. Longer rides out longer cuts; but what a cut hides, and
+ ;; the cloud doesn't delete, can't start elsewhere before this time has passed.
+ (keep-alone-s . 45.0)
 )
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -52,12 +52,13 @@
 }
 
 impl Tenure {
-    pub fn new(hold: u64, term: u64, deadline: Instant, since: Instant) -> Self {
+    /// A term whose hold was asked for at `sent`, which entitles until `deadline`.
+    pub fn new(hold: u64, term: u64, sent: Instant, deadline: Instant, since: Instant) -> Self {
         Self {
             hold,
             term,
             deadline: Mutex::new(deadline),
-            renewed: Mutex::new(since),
+            renewed: Mutex::new(sent),
             ended: AtomicBool::new(false),
             since,
             work: Notify::new(),
@@ -96,10 +97,14 @@
         *deadline = (*deadline).max(until);
     }
 
+    /// When the last renewal that succeeded was sent.
+    pub fn last_renewed(&self) -> Instant {
+        *self.renewed.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     /// Time since the last renewal that succeeded was sent.
     pub fn unrenewed(&self, now: Instant) -> Duration {
-        let renewed = self.renewed.lock().unwrap_or_else(|e| e.into_inner());
-        now.saturating_duration_since(*renewed)
+        now.saturating_duration_since(self.last_renewed())
     }
 }
 
@@ -114,7 +119,7 @@
         let until = deadline(&operator, sent);
         let margin = Duration::from_secs_f64(operator.lease_margin_s);
         assert!(until < sent + operator.lease() - margin);
-        let tenure = Tenure::new(1, 10, until, sent);
+        let tenure = Tenure::new(1, 10, sent, until, sent);
         assert!(tenure.live(until - Duration::from_millis(1)));
         assert!(!tenure.live(until));
         // An outage past the deadline, then a renewal that succeeds: the hold
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,3 +7,4 @@
 pub mod peering;
 pub mod requests;
 pub mod shard;
+pub mod standing;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -12,6 +12,7 @@
 
 use super::lease::Tenure;
 use super::shard::{Policy, Shard};
+use super::standing::{self, Lender, StandingLoan};
 use super::{io, ownership, peering};
 use crate::clock::{Clock, SteadyClock};
 use crate::protocol::cloud::MachineType;
@@ -89,6 +90,8 @@
 pub struct Ownership {
     pub tenure: Arc<Tenure>,
     pub shard: Shard,
+    /// The standing loans that this tenure's pulses gave.
+    pub lender: Lender,
     /// What the shard's events cost.
     pub activities: Activities,
 }
@@ -125,6 +128,10 @@
     /// The owner's term under which this node may answer workers that the
     /// owner can't hear, and until when.
     pub keeping: Option<Keeping>,
+    /// What the owner's last answer to a pulse entitles to.
+    pub standing: Option<StandingLoan>,
+    /// When a worker was last answered by such a loan.
+    pub kept_alone: Option<Instant>,
     /// What the kept workers reported under that term, to be written.
     pub kept: BTreeMap<String, Report>,
     /// Until when this node should rather not own the shard.
@@ -249,6 +256,42 @@
     /// The term under which this node may keep a worker for the owner, if the
     /// worker would take it.
     pub fn keeps(&self, report: &Report) -> Option<u64> {
+        self.keeps_by_loan(report)
+            .or_else(|| self.keeps_alone(report))
+    }
+
+    /// The same without the state service and the owner, by the standing loan
+    /// that the owner's last answer gave, or by this node's own last renewal.
+    fn keeps_alone(&self, report: &Report) -> Option<u64> {
+        if !self.state_failing() {
+            return None;
+        }
+        let now = self.now();
+        let looked = self.ledger.looked();
+        let mut inner = self.lock();
+        let own = inner.ownership.as_ref().filter(|own| !own.tenure.ended());
+        let own = own.map(|own| StandingLoan {
+            term: own.tenure.term,
+            seen: own.tenure.last_renewed(),
+        });
+        let loan = inner.standing.into_iter().chain(own);
+        let loan = loan.max_by_key(|loan| loan.term)?;
+        let until = loan.until(looked, standing::longest(&self.settings))?;
+        let owner_heard = inner.peers.values().any(|view| {
+            view.pulse.term.is_some_and(|term| term >= loan.term)
+                && now.saturating_duration_since(view.at) < standing::OWNER_SILENT
+        });
+        if now >= until || owner_heard || report.term > loan.term {
+            return None;
+        }
+        if inner.kept_alone.is_none() {
+            info!(term = loan.term, "answering workers without the owner");
+        }
+        inner.kept_alone = Some(now);
+        Some(loan.term)
+    }
+
+    fn keeps_by_loan(&self, report: &Report) -> Option<u64> {
         let now = self.now();
         let mut inner = self.lock();
         let keeping = inner.keeping?;
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -8,6 +8,7 @@
 use super::lease::{self, Sequence, Tenure};
 use super::node::{Node, Ownership, STATE_DEADLINE};
 use super::shard::{Loaded, LoadedMachine, Shard};
+use super::standing::Lender;
 use super::{io, peering};
 use crate::protocol::state::{Change, Item, News, Txn};
 use crate::storage::client::{StateError, TxnOutcome, backoff};
@@ -192,7 +193,7 @@
         }
     };
     let until = lease::deadline(operator, sent);
-    let tenure = Arc::new(Tenure::new(hold, term, until, node.now()));
+    let tenure = Arc::new(Tenure::new(hold, term, sent, until, node.now()));
     info!(term, hold, "shard acquired");
     tokio::spawn(renew(node.clone(), tenure.clone()));
     (Some(tenure), true)
@@ -299,6 +300,7 @@
         inner.ownership = Some(Ownership {
             tenure: tenure.clone(),
             shard,
+            lender: Lender::default(),
             activities: Activities::default(),
         });
     }
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -2,13 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 
 use super::lease::KEEPING;
 use super::node::{Keeping, Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
+use super::standing::{self, StandingLoan};
 use crate::protocol::peers::{
     PeerAnswer, PeerRequest, Progress, Pulse, decode_answer, encode_request,
 };
@@ -132,9 +133,62 @@
         main_zone: inner.main_zone.clone(),
         progress: Vec::new(),
         deaf: inner.deaf_until.is_some_and(|until| until > now),
+        // An earlier run may have kept workers until this one started.
+        kept_ago_ms: now
+            .saturating_duration_since(inner.kept_alone.unwrap_or(node.started))
+            .as_millis() as u64,
     }
 }
 
+/// Answers a pulse, which lends its sender the keeping of workers in advance.
+pub fn answer_pulse(node: &Node, pulse: Pulse) -> Pulse {
+    let label = pulse.label.clone();
+    heard_pulse(node, pulse);
+    let answer = own_pulse(node);
+    if let Some(term) = answer.term
+        && let Some(own) = &mut node.lock().ownership
+        && own.tenure.term == term
+    {
+        own.lender.grant(&label, node.now());
+    }
+    answer
+}
+
+/// Takes in the answer to a pulse that was sent at `sent` under the term `told`.
+fn pulse_answered(node: &Node, pulse: Pulse, sent: Instant, told: Option<u64>) {
+    let now = node.now();
+    let kept = now.checked_sub(Duration::from_millis(pulse.kept_ago_ms));
+    {
+        let mut inner = node.lock();
+        if let Some(term) = pulse.term {
+            inner.standing = Some(StandingLoan::renewed(inner.standing, term, sent));
+        }
+        // Who was told our term keeps nothing for a while.
+        if let Some(own) = &mut inner.ownership
+            && told == Some(own.tenure.term)
+        {
+            let kept = kept.unwrap_or(own.tenure.since);
+            own.lender.answered(&pulse.label, sent, kept);
+        }
+    }
+    heard_pulse(node, pulse);
+}
+
+/// Tells the shard until when others may have answered workers on their own.
+fn note_quiet(node: &Arc<Node>) {
+    let Some(tenure) = node.live_tenure() else {
+        return;
+    };
+    let now = node.now();
+    let longest = standing::longest(&node.settings);
+    let others = &node.settings.platform.others;
+    let kept = node.lock().ownership.as_ref().and_then(|own| {
+        let labels = others.iter().map(|peer| peer.label.as_str());
+        own.lender.last_kept(labels, longest, now)
+    });
+    node.with_shard(&tenure, "loans", |shard, _| shard.note_kept(kept, now));
+}
+
 /// How far the jobs are, if this node runs the shard.
 fn progress(node: &Node) -> Vec<Progress> {
     let inner = node.lock();
@@ -188,12 +242,13 @@
         own.progress = progress(&node);
         for peer in &node.settings.platform.others {
             let (node, peer) = (node.clone(), peer.clone());
-            let request = PeerRequest::Pulse(own.clone());
+            let (request, told) = (PeerRequest::Pulse(own.clone()), own.term);
             tokio::spawn(async move {
+                let sent = node.now();
                 if let Some(PeerAnswer::Pulse(pulse)) =
                     ask(&node, &peer, &request, PULSE_DEADLINE).await
                 {
-                    heard_pulse(&node, pulse);
+                    pulse_answered(&node, pulse, sent, told);
                 }
             });
         }
@@ -203,6 +258,7 @@
             let _ = probing.look().await;
         });
         tokio::time::sleep(ROUND).await;
+        note_quiet(&node);
         tell_hearing(&node).await;
         lend_and_recall(&node).await;
         deaf = match hearing(&node).await {
@@ -588,6 +644,10 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::lease::Tenure;
+    use super::super::node::Ownership;
+    use super::super::shard::{Loaded, Shard};
+    use super::super::standing::Lender;
     use super::*;
     use crate::clock::FakeClock;
     use crate::settings::{Operator, Platform, Settings};
@@ -603,6 +663,21 @@
         Node::new(settings, clock)
     }
 
+    fn report(term: u64) -> Report {
+        Report {
+            machine: "vm-1".into(),
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: "north".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            term,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
     #[tokio::test]
     async fn a_promise_needs_an_outage_and_is_kept() {
         let clock = Arc::new(FakeClock::new());
@@ -645,4 +720,65 @@
         heard_pulse(&node, peer);
         assert!(node.ready());
     }
+
+    /// Cut off with its workers, a controller goes on answering them by the
+    /// owner's last word, for as long as a cancelled job's tasks have and no more.
+    #[tokio::test]
+    async fn a_controller_cut_from_store_and_owner_keeps_workers_for_a_while() {
+        let clock = Arc::new(FakeClock::new());
+        let node = node(clock.clone());
+        let mut report = report(5);
+        node.ledger.note_look(node.now());
+        let owner = Pulse {
+            label: "beta".into(),
+            term: Some(7),
+            ..Pulse::default()
+        };
+        pulse_answered(&node, owner, node.now(), None);
+        clock.advance(standing::OWNER_SILENT);
+        assert_eq!(node.keeps(&report), None, "the state service may answer");
+        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+        assert_eq!(node.keeps(&report), Some(7));
+        assert_eq!(own_pulse(&node).kept_ago_ms, 0);
+        report.term = 8;
+        assert_eq!(node.keeps(&report), None, "the worker obeys another");
+        report.term = 7;
+        // The owner heard again, even by an old message: it answers, not we.
+        let pulse = Pulse {
+            label: "beta".into(),
+            term: Some(7),
+            ..Pulse::default()
+        };
+        heard_pulse(&node, pulse);
+        assert_eq!(node.keeps(&report), None);
+        clock.advance(standing::OWNER_SILENT);
+        assert_eq!(node.keeps(&report), Some(7));
+        let workers = &node.settings.platform.settings.workers;
+        clock.advance(workers.cancel() - workers.lease() - standing::OWNER_SILENT * 2);
+        assert_eq!(node.keeps(&report), None, "a job may have been cancelled");
+    }
+
+    /// An owner that a cut has taken from the state service and all others.
+    #[tokio::test]
+    async fn an_owner_past_its_deadline_keeps_its_workers_and_gives_no_commands() {
+        let clock = Arc::new(FakeClock::new());
+        let node = node(clock.clone());
+        let now = node.now();
+        node.ledger.note_look(now);
+        let tenure = Arc::new(Tenure::new(1, 9, now, now + Duration::from_secs(3), now));
+        let shard = Shard::take_over(node.policy.clone(), 9, Loaded::default(), now, 0);
+        node.lock().ownership = Some(Ownership {
+            tenure: tenure.clone(),
+            shard,
+            lender: Lender::default(),
+            activities: Default::default(),
+        });
+        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+        clock.advance(Duration::from_secs(4));
+        let report = report(9);
+        assert!(node.live_tenure().is_none());
+        assert_eq!(node.keeps(&report), Some(9));
+        tenure.finish();
+        assert_eq!(node.keeps(&report), None, "its hold is known to have ended");
+    }
 }
--- a/src/coordination/shard/cluster.rs
+++ b/src/coordination/shard/cluster.rs
@@ -56,6 +56,8 @@
             fleet: Fleet::default(),
             writes: writes::Writer::default(),
             loans: Default::default(),
+            kept: None,
+            presumed: HashMap::new(),
             lending_since: None,
             cut_off: BTreeSet::new(),
             // A task's attempt number never repeats, whatever was lost: the
@@ -78,6 +80,9 @@
                 .insert(std::sync::Arc::clone(&id), Job::new(id, mark, record));
         }
         for (id, progress) in snapshot::decode(loaded.chunks.values()) {
+            for machine in progress.placed.values() {
+                *shard.presumed.entry(machine.as_str().into()).or_default() += 1;
+            }
             if let Some(job) = shard.jobs.get_mut(id.as_str()) {
                 for (from, to) in progress.done.ranges() {
                     for n in from..=to.min(job.spec.tasks - 1) {
@@ -88,7 +93,9 @@
         }
         shard.writes.written = loaded.chunks;
         // A keeper of the last owner may have answered workers until just now.
-        let lease_over = now + shard.policy.lease_surely_over() + KEEPING;
+        // Or one that was cut off goes on answering them by its standing loan.
+        let kept = KEEPING.max(shard.policy.alone);
+        let lease_over = now + shard.policy.lease_surely_over() + kept;
         for LoadedMachine { id, page, record } in loaded.roster {
             let id: MachineId = id.as_str().into();
             shard.writes.roster.load(page, id.clone(), record.clone());
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -280,6 +280,14 @@
         if self.others_keep() {
             return;
         }
+        // What was surely over when others' answers were last reckoned with is
+        // so for ever: a later answer revives nothing.
+        let Some((now, kept)) = self.kept_up_to(now) else {
+            return;
+        };
+        if kept.is_some_and(|kept| now <= kept + self.policy.lease_surely_over()) {
+            return;
+        }
         let over: Vec<MachineId> = self
             .machines
             .values()
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -198,7 +198,7 @@
                     Some((m.id.clone(), "its worker is silent"))
                 } else if now > m.lease_over
                     && !self.others_keep()
-                    && silence >= self.policy.worker_lease * if many { 4 } else { 1 }
+                    && silence >= self.patience(m, many)
                 {
                     Some((m.id.clone(), "its worker's lease is over"))
                 } else {
@@ -211,6 +211,18 @@
         }
     }
 
+    /// How long a machine may be silent at the most before it is given back.
+    fn patience(&self, machine: &Machine, many: bool) -> Duration {
+        let lease = self.policy.worker_lease;
+        if many {
+            lease * 4
+        } else if self.kept_in_cut(machine) {
+            lease + self.policy.alone
+        } else {
+            lease
+        }
+    }
+
     /// Gives a machine back; its tasks count until the cloud says 200.
     pub(super) fn begin_deletion(&mut self, id: &MachineId, now: Instant, why: &str) {
         let Some(machine) = self.machines.get_mut(id) else {
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -26,6 +26,8 @@
     done: TaskSet,
     /// Tasks that may exist on a machine. Ended ones are not among them.
     live: HashMap<u32, MachineId>,
+    /// Tasks that were on a machine we knew of and surely are on none now.
+    nowhere: BTreeSet<u32>,
     /// Tasks that are both: they ended as done while another attempt of them
     /// may still exist.
     both: u32,
@@ -53,6 +55,7 @@
             at_ms: record.at_ms,
             done: TaskSet::default(),
             live: HashMap::new(),
+            nowhere: BTreeSet::new(),
             both: 0,
             failed_on: BTreeSet::new(),
             failures: 0,
@@ -73,6 +76,19 @@
         (self.spec.tasks + self.both).saturating_sub(self.done.len() + self.live.len() as u32)
     }
 
+    /// Waiting tasks that are surely nowhere, whatever an earlier owner did.
+    pub fn surely_nowhere(&self) -> u32 {
+        match self.over {
+            Some(_) => 0,
+            None => self.nowhere.len() as u32,
+        }
+    }
+
+    /// Waiting tasks that an earlier owner may have started somewhere.
+    pub fn unaccounted(&self) -> u32 {
+        self.waiting().saturating_sub(self.surely_nowhere())
+    }
+
     /// The waiting tasks, counted one by one.
     #[cfg(test)]
     pub fn recount_waiting(&self) -> u32 {
@@ -94,6 +110,7 @@
 
     /// A task has completed.
     pub fn complete(&mut self, index: u32) {
+        self.nowhere.remove(&index);
         if self.done.insert(index) && self.live.contains_key(&index) {
             self.both += 1;
         }
@@ -103,6 +120,7 @@
     pub fn put(&mut self, index: u32, machine: &MachineId) {
         if let std::collections::hash_map::Entry::Vacant(free) = self.live.entry(index) {
             free.insert(machine.clone());
+            self.nowhere.remove(&index);
             self.both += u32::from(self.done.contains(index));
         }
     }
@@ -111,12 +129,20 @@
     pub fn lift(&mut self, index: u32, machine: &MachineId) {
         if self.live.get(&index) == Some(machine) {
             self.live.remove(&index);
-            self.both -= u32::from(self.done.contains(index));
+            if self.done.contains(index) {
+                self.both -= 1;
+            } else {
+                self.nowhere.insert(index);
+            }
         }
     }
 
-    /// The next waiting task.
-    pub fn next_waiting(&mut self) -> Option<u32> {
+    /// The next waiting task that is surely nowhere; all are once every machine
+    /// is accounted for.
+    pub fn next_waiting(&mut self, all: bool) -> Option<u32> {
+        if !all {
+            return self.nowhere.first().copied();
+        }
         // What was released lies before the cursor only if it was lifted since.
         let free = |n: &u32| !self.done.contains(*n) && !self.live.contains_key(n);
         let next = (self.cursor..self.spec.tasks)
--- a/src/coordination/shard/keeping.rs
+++ b/src/coordination/shard/keeping.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use super::commands::stop;
-use super::{Fact, Machine, Shard};
+use super::{Fact, Job, Machine, Shard};
 use crate::coordination::lease::KEEPING;
 use crate::protocol::state::Change;
 use crate::protocol::workers::{Command, Report, TaskState};
@@ -109,6 +109,38 @@
         }
     }
 
+    /// Others may have answered workers by standing loans until `kept`, as far
+    /// as is known at this moment.
+    pub fn note_kept(&mut self, kept: Option<Instant>, at: Instant) {
+        self.kept = Some((at, kept));
+    }
+
+    /// The moment for which others' answers are known, and the last of them.
+    pub(super) fn kept_up_to(&self, now: Instant) -> Option<(Instant, Option<Instant>)> {
+        if self.policy.alone.is_zero() {
+            return Some((now, None));
+        }
+        self.kept
+    }
+
+    /// Whether a machine's zone is cut off, and a controller there may go on
+    /// answering its worker by a standing loan.
+    pub(super) fn kept_in_cut(&self, machine: &Machine) -> bool {
+        !self.policy.alone.is_zero() && self.cut_off.contains(&*machine.zone)
+    }
+
+    /// Whether far more work waits to be accounted for than may be on machines
+    /// that are not: then it is better to give these back than to wait.
+    fn much_waits(&self) -> bool {
+        let presumed: u32 = self
+            .unresolved
+            .iter()
+            .filter_map(|id| self.presumed.get(id))
+            .sum();
+        let waiting: u32 = self.jobs.values().map(Job::unaccounted).sum();
+        waiting > presumed.saturating_mul(2)
+    }
+
     /// Whether a silent machine is better left alone: it may be cut off with
     /// its zone, and be kept there. But what no keeper has accounted for in
     /// time holds up all work that may have been on it.
@@ -118,6 +150,7 @@
         }
         self.lending_since
             .is_some_and(|since| now.saturating_duration_since(since) < INVENTORY_WAIT)
+            || (self.kept_in_cut(machine) && !self.much_waits())
     }
 
     /// Ends a loan: the keeper can be reached again, or hears nobody.
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -31,6 +31,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::coordination::standing;
 use crate::protocol::cloud::{MachineType, Rental};
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::{Command, Report};
@@ -100,6 +101,8 @@
     pub finish_within: HashMap<String, Duration>,
     pub report: Duration,
     pub worker_lease: Duration,
+    /// How long another controller may go on answering workers on its own.
+    pub alone: Duration,
     pub txn_ops: usize,
     pub value_bytes: usize,
     pub snapshot: Duration,
@@ -137,6 +140,7 @@
             finish_within: within(&given.objectives, "finished"),
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
+            alone: standing::longest(settings),
             txn_ops: given.state.txn_ops,
             value_bytes: (given.state.value_kb * 1024.0) as usize,
             snapshot: operator.snapshot(),
@@ -198,6 +202,11 @@
     fleet: fleet::Fleet,
     writes: writes::Writer,
     loans: keeping::Loans,
+    /// When others' answers to workers were last reckoned with, and the latest
+    /// moment up to then at which they may have given one on their own.
+    kept: Option<(Instant, Option<Instant>)>,
+    /// By machine, the tasks that the last owner's snapshot had there.
+    presumed: HashMap<MachineId, u32>,
     /// Since when something has been lent without a break.
     lending_since: Option<Instant>,
     /// Zones all of whose controllers can't be reached: likely cut off.
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -1,7 +1,7 @@
 //! Which waiting task goes where.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -197,6 +197,20 @@
         self.unresolved.is_empty() || job.mark > self.term
     }
 
+    /// How many of a job's waiting tasks may be started. While machines are
+    /// unaccounted for, those that were on machines we knew of: no earlier owner
+    /// can have started them elsewhere.
+    fn placeable(&self, job: &Job) -> u32 {
+        if self.whereabouts_known(job) {
+            job.waiting()
+        } else if job.spec.one_zone && job.unaccounted() > 0 {
+            // Nobody knows which zone the others are in.
+            0
+        } else {
+            job.surely_nowhere()
+        }
+    }
+
     fn open_slots(&self, now: Instant) -> Vec<Slot> {
         let reserved = self.reserved_for_moves();
         self.machines
@@ -225,10 +239,7 @@
         }
         let mut levels: BTreeMap<Reverse<Priority>, HashMap<String, Vec<JobId>>> = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.waiting() > 0
-                && job.not_before.is_none_or(|at| at <= now)
-                && self.whereabouts_known(job)
-            {
+            if self.placeable(job) > 0 && job.not_before.is_none_or(|at| at <= now) {
                 levels
                     .entry(Reverse(job.spec.priority))
                     .or_default()
@@ -273,7 +284,7 @@
                     self.restless = true;
                     return;
                 }
-                let left = self.jobs.get(&id).map_or(0, Job::waiting);
+                let left = self.jobs.get(&id).map_or(0, |job| self.placeable(job));
                 if placed == 0 || left == 0 {
                     queue.pop_front();
                     if left > 0 {
@@ -371,15 +382,16 @@
                 break;
             };
             let spec = job.spec.clone();
-            if job.waiting() == 0 || !self.within_limit(&pass.usage, &spec) {
+            if self.placeable(job) == 0 || !self.within_limit(&pass.usage, &spec) {
                 break;
             }
+            let all = self.whereabouts_known(job);
             self.look_for_image(&spec.image, pass);
             let seed = self.seed(job, pass);
             let Some(at) = seed.or_else(|| self.choose(job, pass)) else {
                 break;
             };
-            let Some(index) = self.jobs.get_mut(id).and_then(Job::next_waiting) else {
+            let Some(index) = self.jobs.get_mut(id).and_then(|job| job.next_waiting(all)) else {
                 break;
             };
             pass.take(&spec, at);
@@ -552,6 +564,18 @@
                 *zones.entry(machine.zone.clone()).or_insert(0) += 1;
             }
         }
+        let unaccounted = job.unaccounted();
+        if job.spec.scatter && unaccounted > 0 && !self.whereabouts_known(job) {
+            // They may all be in any zone with machines that are unaccounted for.
+            let machines = self
+                .unresolved
+                .iter()
+                .filter_map(|id| self.machines.get(id));
+            let unknown: BTreeSet<Arc<str>> = machines.map(|m| m.zone.clone()).collect();
+            for zone in unknown {
+                *zones.entry(zone).or_insert(0) += unaccounted;
+            }
+        }
         zones
     }
 
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -231,7 +231,8 @@
             let doomed = machine.deleting
                 || machine.condemned
                 || machine.notice.is_some()
-                || machine.vanished;
+                || machine.vanished
+                || (machine.heard.is_none() && self.cut_off.contains(&*machine.zone));
             if doomed {
                 continue;
             }
@@ -525,7 +526,11 @@
             if fits == 0 {
                 continue;
             }
-            for zone in &kind.zones {
+            for zone in kind
+                .zones
+                .iter()
+                .filter(|zone| !self.cut_off.contains(*zone))
+            {
                 for spot in [false, true] {
                     let price = if spot {
                         kind.spot_price
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use super::world::{machine_types, policy, record, spec};
+use super::world::{ALONE, machine_types, policy, record, spec};
 use crate::coordination::shard::{
-    Action, CommandOutcome, Fact, Loaded, LoadedMachine, Machine, RentalOutcome, ReportOutcome,
-    Shard, ShardWrite, keeper_commands,
+    Action, CommandOutcome, Fact, Loaded, LoadedMachine, Machine, Policy, RentalOutcome,
+    ReportOutcome, Shard, ShardWrite, keeper_commands,
 };
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
@@ -45,9 +45,16 @@
 }
 
 impl Script {
+    /// Without other controllers.
     fn new(loaded: Loaded) -> Self {
+        Self::among(Duration::ZERO, loaded)
+    }
+
+    /// Among controllers that may answer workers on their own for so long.
+    fn among(alone: Duration, loaded: Loaded) -> Self {
         let now = Instant::now();
-        let mut shard = Shard::take_over(policy(), TERM, loaded, now, 0);
+        let policy = Policy { alone, ..policy() };
+        let mut shard = Shard::take_over(policy, TERM, loaded, now, 0);
         shard.set_types(&machine_types());
         let mut script = Self {
             shard,
@@ -916,3 +923,83 @@
     script.pass(Duration::from_secs(1));
     assert!(script.launches().is_empty(), "it does");
 }
+
+/// A zone was cut off from everything and the owner crashed: machines there may
+/// be answered by a controller on their side for longer than their leases.
+#[test]
+fn what_may_be_kept_by_a_standing_loan_is_not_over_with_its_lease() {
+    let mut script = Script::among(ALONE, one_old_job(1, &["vm-1"]));
+    let lease = script.shard.policy.lease_surely_over();
+    let start = script.now;
+    let second = Duration::from_secs(1);
+    let unaccounted = |script: &mut Script, time: Duration, kept: Option<Duration>| {
+        script.now = start + time;
+        let kept = kept.map(|time| start + time);
+        script.shard.note_kept(kept, script.now);
+        script.pass(Duration::ZERO);
+        script.shard.summary().contains("unresolved 1")
+    };
+    // Under an earlier term, from just before this one began.
+    assert!(unaccounted(&mut script, lease + ALONE - second, None));
+    // Under ours: someone may still be answering, or did until then.
+    let later = lease + ALONE + second;
+    assert!(unaccounted(&mut script, later, Some(later)));
+    assert!(unaccounted(
+        &mut script,
+        later + lease - second,
+        Some(later)
+    ));
+    assert!(!unaccounted(
+        &mut script,
+        later + lease + second,
+        Some(later)
+    ));
+}
+
+/// While some machines are unaccounted for, a task that was on another and is
+/// not any more starts again at once; one that was seen nowhere waits.
+#[test]
+fn what_was_seen_and_lost_starts_again_before_all_machines_are_accounted_for() {
+    let mut script = Script::new(one_old_job(2, &["vm-1", "vm-2"]));
+    let running = listed("run-1/0", 7, TaskState::Running, None);
+    let probe = script.probes().remove(0);
+    let report = script.report_of("vm-1", TERM, vec![running]);
+    script.answered(&probe, CommandOutcome::Executed(report));
+    script.pass(Duration::from_millis(300));
+    assert!(
+        script.launches().is_empty(),
+        "the other task may be on vm-2"
+    );
+    script.report("vm-1", Vec::new());
+    script.pass(Duration::from_millis(300));
+    let launches = script.launches();
+    assert_eq!(launches.len(), 1);
+    assert!(matches!(&launches[0].2[..], [Command::Launch { task, .. }] if task.index == 0));
+    assert!(!script.machine("vm-2").synced);
+}
+
+/// The same for a job that may have half of its tasks in a zone: those that
+/// nobody has seen count wherever they may be.
+#[test]
+fn tasks_that_nobody_has_seen_count_in_every_zone_where_they_may_be() {
+    let mut loaded = one_old_job(4, &["vm-1", "vm-2"]);
+    loaded.jobs[0].2.spec.scatter = true;
+    let mut script = Script::new(loaded);
+    let running = |n| listed(&format!("run-1/{n}"), 7, TaskState::Running, None);
+    let probe = script.probes().remove(0);
+    let report = script.report_of("vm-1", TERM, vec![running(0), running(1)]);
+    script.answered(&probe, CommandOutcome::Executed(report));
+    script.report("vm-1", vec![running(0)]);
+    script.pass(Duration::from_millis(300));
+    // Two others may be on vm-2, in the same zone.
+    assert!(script.launches().is_empty());
+}
+
+/// An old job and a roster, as a new owner loads them.
+fn one_old_job(tasks: u32, machines: &[&str]) -> Loaded {
+    Loaded {
+        jobs: vec![("run-1".into(), 5, record(spec("red", 1.0, tasks)))],
+        roster: machines.iter().map(|id| roster(id)).collect(),
+        ..Loaded::default()
+    }
+}
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -24,6 +24,8 @@
 
 pub const LEASE: Duration = Duration::from_secs(27);
 pub const CANCEL: Duration = Duration::from_secs(52);
+/// How long a standing loan lasts: leases and this stay within [`CANCEL`].
+pub const ALONE: Duration = Duration::from_secs(24);
 /// Share of the reports that come a second time.
 const COPIES: f64 = 0.1;
 pub const STEP: Duration = Duration::from_millis(100);
@@ -92,6 +94,7 @@
         finish_within: HashMap::new(),
         report: Duration::from_secs(3),
         worker_lease: LEASE,
+        alone: ALONE,
         txn_ops: 8,
         value_bytes: 8192,
         snapshot: Duration::from_secs(3),
@@ -128,6 +131,9 @@
     tasks: BTreeMap<(TaskId, u64), WorkerTask>,
     /// Everything to and from it is held until then.
     cut_until: Option<Instant>,
+    /// Meanwhile a controller answers it by a standing loan of this term, until
+    /// then.
+    kept: Option<(u64, Instant)>,
     /// It does nothing until then.
     hang_until: Option<Instant>,
     dead: bool,
@@ -270,6 +276,8 @@
     /// Tasks that have truly been completed.
     done: BTreeSet<TaskId>,
     limits: HashMap<String, f64>,
+    /// When a worker was last answered by a standing loan, by its term.
+    kept: BTreeMap<u64, Instant>,
     pub broken: Vec<String>,
     pub starts: usize,
 }
@@ -305,6 +313,7 @@
                 .iter()
                 .map(|(name, team)| (name.clone(), team.cores_max))
                 .collect(),
+            kept: BTreeMap::new(),
             broken: Vec::new(),
             starts: 0,
         }
@@ -812,6 +821,7 @@
                 next_report: self.now,
                 tasks: BTreeMap::new(),
                 cut_until: None,
+                kept: None,
                 hang_until: None,
                 dead: false,
             },
@@ -824,8 +834,11 @@
 
     pub fn cut(&mut self, id: &str, time: Duration) {
         let until = self.now + time;
+        let kept = self.rng.random_bool(0.5);
+        let loan = (self.term, self.now + ALONE);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.cut_until = Some(until);
+            worker.kept = kept.then_some(loan);
         }
     }
 
@@ -927,6 +940,8 @@
                 continue;
             }
             worker.cut_until = worker.cut_until.filter(|until| *until > now);
+            let cut = worker.cut_until.is_some();
+            worker.kept = worker.kept.filter(|(_, until)| cut && *until > now);
             // A hanging machine can continue only within its lease.
             if now - worker.answered_sent > LEASE {
                 worker.session += 1;
@@ -968,6 +983,11 @@
             if due {
                 worker.next_report = now + Duration::from_millis(self.rng.random_range(2250..3750));
             }
+            if let Some((term, _)) = worker.kept.filter(|(term, _)| due && *term >= worker.term) {
+                worker.term = term;
+                worker.answered_sent = now;
+                self.kept.insert(term, now);
+            }
             if let Some(report) = report {
                 if self.rng.random_bool(COPIES) {
                     let late = Duration::from_millis(self.rng.random_range(1_000..60_000));
@@ -1067,6 +1087,14 @@
             ticks += 1;
             let now = self.now;
             if ticks.is_multiple_of(2) {
+                // Who is cut off with workers may answer them at any time.
+                let term = self.term;
+                let keeps = |w: &Worker| w.kept.is_some_and(|(of, _)| of == term);
+                let kept = match self.workers.values().any(keeps) {
+                    true => Some(now),
+                    false => self.kept.get(&term).copied(),
+                };
+                self.tell(|shard| shard.note_kept(kept, now));
                 self.tell(|shard| shard.tick(now));
             }
             if ticks.is_multiple_of(30) {
--- /dev/null
+++ b/src/coordination/standing.rs
@@ -0,0 +1,149 @@
+//! Standing loans: going on without the state service.
+//!
+//! A controller that a cut takes from the owner and the state service at once
+//! can't ask for a loan. So each answer of the owner to a controller's pulse
+//! lends it the keeping of workers in advance: for a while after that pulse it
+//! may answer them with the owner's term, but only once it hears neither the
+//! owner nor the service. An owner past its deadline may do the same for its
+//! own term. The time is short enough that no task of a job cancelled meanwhile
+//! outlives the time in which it has to end.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use crate::settings::Settings;
+
+/// For the pace of clocks, and for a busy processor.
+const DRIFT: f64 = 1.002;
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// How long a controller that hears the owner no more waits before it answers
+/// workers on its own.
+pub const OWNER_SILENT: Duration = Duration::from_secs(3);
+/// How long after a pulse that was answered its receiver surely keeps nothing:
+/// less than [`OWNER_SILENT`] from when it heard that pulse.
+const SURELY_HEARD: Duration = Duration::from_millis(2500);
+
+/// For how long a controller may keep workers on its own: their leases and this
+/// together stay within the time that a cancelled job's tasks have.
+pub fn longest(settings: &Settings) -> Duration {
+    let workers = &settings.platform.settings.workers;
+    let allowed = workers
+        .cancel()
+        .saturating_sub(workers.lease().mul_f64(DRIFT) + MARGIN);
+    if settings.platform.others.is_empty() {
+        return Duration::ZERO;
+    }
+    allowed.min(settings.operator.keep_alone())
+}
+
+/// What an owner's answer to a pulse entitles to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandingLoan {
+    /// The owner's term.
+    pub term: u64,
+    /// When the pulse was sent that the owner answered.
+    pub seen: Instant,
+}
+
+impl StandingLoan {
+    /// Until when workers may be answered, if what jobs are over was last
+    /// looked up by a request sent at `looked`.
+    pub fn until(&self, looked: Option<Instant>, longest: Duration) -> Option<Instant> {
+        let from = self.seen.min(looked?);
+        Some(from + longest.mul_f64(2.0 - DRIFT).checked_sub(MARGIN / 2)?)
+    }
+
+    /// Takes in that an owner answered a pulse sent then.
+    pub fn renewed(known: Option<Self>, term: u64, sent: Instant) -> Self {
+        match known {
+            Some(loan) if loan.term > term => loan,
+            Some(loan) if loan.term == term => Self {
+                term,
+                seen: loan.seen.max(sent),
+            },
+            _ => Self { term, seen: sent },
+        }
+    }
+}
+
+/// What an owner knows of the loans that its answers gave.
+#[derive(Debug, Default)]
+pub struct Lender {
+    /// By controller: when it last got an answer of ours.
+    granted: HashMap<String, Instant>,
+    /// By controller: when we sent the last pulse of this term that it answered,
+    /// and a moment after which it had answered no worker then.
+    quiet: HashMap<String, (Instant, Instant)>,
+}
+
+impl Lender {
+    /// A controller's pulse is answered.
+    pub fn grant(&mut self, label: &str, now: Instant) {
+        self.granted.insert(label.to_owned(), now);
+    }
+
+    /// A controller answered a pulse sent then: when it last kept workers.
+    pub fn answered(&mut self, label: &str, sent: Instant, kept: Instant) {
+        self.quiet.insert(label.to_owned(), (sent, kept));
+    }
+
+    /// The latest moment up to `now` at which one of these controllers may have
+    /// answered workers under our term; None if none ever can have.
+    pub fn last_kept<'a>(
+        &self,
+        labels: impl Iterator<Item = &'a str>,
+        longest: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let of = |label: &str| {
+            let quiet = self.quiet.get(label);
+            let kept = quiet.map(|(_, kept)| (*kept).min(now));
+            if quiet.is_some_and(|(sent, _)| now.saturating_duration_since(*sent) <= SURELY_HEARD) {
+                return kept;
+            }
+            let lent = self.granted.get(label).map(|at| (*at + longest).min(now));
+            kept.max(lent)
+        };
+        labels.filter_map(of).max()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LONGEST: Duration = Duration::from_secs(20);
+
+    #[test]
+    fn a_standing_loan_runs_from_the_older_of_pulse_and_look() {
+        let start = Instant::now();
+        let later = start + Duration::from_secs(5);
+        let loan = StandingLoan::renewed(None, 7, later);
+        assert_eq!(loan.until(None, LONGEST), None, "never looked");
+        let until = loan.until(Some(start), LONGEST).expect("a look");
+        assert!(until < start + LONGEST);
+        assert!(until > start + LONGEST - Duration::from_millis(300));
+        // An older owner's late answer changes nothing, a newer one's does.
+        assert_eq!(StandingLoan::renewed(Some(loan), 6, later), loan);
+        assert_eq!(StandingLoan::renewed(Some(loan), 8, later).term, 8);
+        assert_eq!(StandingLoan::renewed(Some(loan), 7, start).seen, later);
+    }
+
+    #[test]
+    fn a_lender_counts_on_a_keeper_that_does_not_answer() {
+        let start = Instant::now();
+        let at = |s: f64| start + Duration::from_secs_f64(s);
+        let mut lender = Lender::default();
+        let last = |lender: &Lender, now| lender.last_kept(["b", "c"].into_iter(), LONGEST, now);
+        assert_eq!(last(&lender, at(1.0)), None, "no answer was given yet");
+        lender.grant("b", at(1.0));
+        lender.answered("b", at(1.5), at(0.5));
+        assert_eq!(last(&lender, at(3.9)), Some(at(0.5)), "it hears us");
+        // Silent since: it may be answering workers now, until its time is up.
+        assert_eq!(last(&lender, at(5.0)), Some(at(5.0)));
+        assert_eq!(last(&lender, at(60.0)), Some(at(21.0)));
+        lender.answered("b", at(59.0), at(40.0));
+        assert_eq!(last(&lender, at(60.0)), Some(at(40.0)), "as it says itself");
+    }
+}
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -34,6 +34,9 @@
     pub idle_s: f64,
     /// How long a refused kind of machine is not asked for again.
     pub refused_s: f64,
+    /// How long a controller goes on answering workers without the state service
+    /// and the owner, at the most.
+    pub keep_alone_s: f64,
 }
 
 impl Default for Operator {
@@ -50,6 +53,7 @@
             headroom: 0.1,
             idle_s: 10.0,
             refused_s: 15.0,
+            keep_alone_s: 45.0,
         }
     }
 }
@@ -92,6 +96,7 @@
             ("headroom", self.headroom, 0.0, 10.0),
             ("idle-s", self.idle_s, 0.0, 86_400.0),
             ("refused-s", self.refused_s, 1.0, 3600.0),
+            ("keep-alone-s", self.keep_alone_s, 0.0, 600.0),
         ];
         for (field, value, least, most) in ranges {
             if !(least..=most).contains(&value) {
@@ -136,6 +141,10 @@
     pub fn refused(&self) -> Duration {
         Duration::from_secs_f64(self.refused_s)
     }
+
+    pub fn keep_alone(&self) -> Duration {
+        Duration::from_secs_f64(self.keep_alone_s)
+    }
 }
 
 #[cfg(test)]
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -38,6 +38,8 @@
 struct Book {
     /// The revision up to which it is complete; None before the first load.
     revision: Option<u64>,
+    /// When the last look that was answered was sent.
+    looked: Option<Instant>,
     open: HashSet<String>,
     over: HashMap<String, (Stage, u32)>,
     /// Final jobs in the order in which they came.
@@ -127,6 +129,16 @@
         self.book().open.contains(id)
     }
 
+    /// A look sent then was answered.
+    pub(crate) fn note_look(&self, sent: Instant) {
+        self.book().looked = Some(sent);
+    }
+
+    /// When the last look that was answered was sent.
+    pub fn looked(&self) -> Option<Instant> {
+        self.book().looked
+    }
+
     /// What is known of a job, as of the last look.
     pub fn find(&self, id: &str) -> Known {
         let book = self.book();
@@ -151,6 +163,9 @@
         }
         let sent = clock.now();
         let result = self.refresh(state).await;
+        if result.is_ok() {
+            self.note_look(sent);
+        }
         *last = Some((sent, result.clone()));
         result
     }
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -107,6 +107,10 @@
         Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
         None => {
             if let Some(term) = node.keeps(&report) {
+                // An owner past its deadline stays informed: it may go on.
+                if let Some(tenure) = node.tenure().filter(|tenure| tenure.term == term) {
+                    node.with_shard(&tenure, "reports", |shard, now| shard.report(&report, now));
+                }
                 let commands = keeper_commands(&report, |job| node.ledger.is_open(job));
                 return json(StatusCode::OK, &ReportAnswer { term, commands });
             }
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -28,10 +28,7 @@
 
 async fn peer(State(node): State<Arc<Node>>, body: Bytes) -> Vec<u8> {
     let answer = match decode_request(&body) {
-        Some(PeerRequest::Pulse(pulse)) => {
-            peering::heard_pulse(&node, pulse);
-            PeerAnswer::Pulse(peering::own_pulse(&node))
-        }
+        Some(PeerRequest::Pulse(pulse)) => PeerAnswer::Pulse(peering::answer_pulse(&node, pulse)),
         Some(PeerRequest::Promise { millis }) => PeerAnswer::Promise {
             given: peering::promise(&node, Duration::from_millis(millis)),
         },
