Services stay among services; work nobody waits for doesn't rent for a burst

A job past its time also counted as not urgent by 0/0.

Change: untimed work asks for other machines only when its own time comes, and for one start first; a service that could have the room of lesser work among services leaves machines without services alone.

--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -421,10 +421,12 @@
     /// any case is not costly.
     pub(super) fn costly(&self, machine: &Machine, now: Instant) -> bool {
         let paid = now.saturating_duration_since(machine.rented) < LEAST_CHARGE / 2;
-        !machine.spot
-            && !paid
-            && !self.policy.holds_capacity()
-            && !super::drain::hosts_services(machine)
+        !paid && self.barren(machine)
+    }
+
+    /// Whether a machine costs the full price and no service keeps it.
+    pub(super) fn barren(&self, machine: &Machine) -> bool {
+        !machine.spot && !self.policy.holds_capacity() && !super::drain::hosts_services(machine)
     }
 
     /// Gives back what is empty and in no plan, and what never came up.
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -34,6 +34,8 @@
     pub spot: bool,
     /// Kept for batch work alone, at the full price.
     pub costly: bool,
+    /// A service would keep it from being given back.
+    pub barren: bool,
     pub free: Amounts,
     /// Of that, what batch work must leave.
     pub reserved: Amounts,
@@ -224,6 +226,7 @@
                     zone: m.zone.clone(),
                     spot: m.spot,
                     costly: self.costly(m, now),
+                    barren: self.barren(m),
                     free: m.free(kind),
                     reserved: reserved.get(&m.id).copied().unwrap_or_default(),
                     held: false,
@@ -474,12 +477,14 @@
             JobKind::Batch => None,
         };
         let within = self.policy.wait_within.get(&spec.class).copied();
+        let stays = self.stays_with_services(job, &zones, pass);
         let holdings = pass.holdings(spec);
         let mut best: Option<(Rank, usize)> = None;
         for (at, slot) in pass.slots.iter().enumerate() {
             let fits = slot.fits(spec)
                 && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                 && self.worth_it(job, slot)
+                && !(stays && slot.barren)
                 && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
                 && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
                 && !(avoid && job.failed_on.contains(&slot.id));
@@ -509,6 +514,39 @@
             .filter(|at| !self.better_to_make_room(job, *at, pass))
     }
 
+    /// Whether a service has room among others, or could have that of lesser
+    /// work: it then leaves machines without services alone, which would have to
+    /// be kept for it.
+    pub(super) fn stays_with_services(
+        &self,
+        job: &Job,
+        zones: &BTreeMap<Arc<str>, u32>,
+        pass: &Pass,
+    ) -> bool {
+        let spec = &job.spec;
+        let per_zone = spec.tasks.div_ceil(2);
+        let could_hold = |slot: &Slot| {
+            let lesser = |machine: &Machine| {
+                machine.tally.tasks.iter().any(|(other, _)| {
+                    other.priority < spec.priority
+                        && other.cores >= spec.cores
+                        && other.mem_gb >= spec.mem_gb
+                })
+            };
+            slot.free.holds(spec) || self.machines.get(&slot.id).is_some_and(lesser)
+        };
+        spec.kind == JobKind::Standing
+            && !self.policy.holds_capacity()
+            && pass.slots.iter().any(|slot| {
+                !slot.barren
+                    && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
+                    && (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
+                    && !job.failed_on.contains(&slot.id)
+                    && could_hold(slot)
+            })
+    }
+
     /// Whether a service would fetch its image for too long there, while it
     /// could have the place of lesser work beside an image.
     fn better_to_make_room(&self, job: &Job, at: usize, pass: &Pass) -> bool {
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -383,8 +383,15 @@
             return waiting;
         }
         let run = spec.duration_s * ESTIMATE_MARGIN;
-        let Some(slack) = self.slack(job, run, wall) else {
-            return waiting;
+        let Some(slack) = self.stated_slack(job, run, wall) else {
+            // What fills the room for a while is no reason to pay more for work
+            // that nobody waits for; its time does come, a job's first start
+            // long before the rest.
+            return match untimed_slack(job, wall) {
+                slack if slack > 0.0 => 0,
+                _ if begun(job) => waiting,
+                _ => waiting.min(1),
+            };
         };
         if room < spec.cores {
             // Nothing to wait for yet: ask for spot machines, and for others
@@ -393,7 +400,9 @@
             return if patient { 0 } else { waiting };
         }
         let last_start = ((queued - room * run) / room).max(0.0);
-        if last_start <= slack {
+        if slack <= 0.0 {
+            waiting
+        } else if last_start <= slack {
             0
         } else {
             let late = 1.0 - slack.max(0.0) / last_start;
@@ -414,6 +423,13 @@
 
     /// Seconds until a job's last task should start; None if nothing says so.
     fn slack(&self, job: &Job, run: f64, wall: u64) -> Option<f64> {
+        let batch = job.spec.kind == JobKind::Batch;
+        let untimed = || batch.then(|| untimed_slack(job, wall));
+        self.stated_slack(job, run, wall).or_else(untimed)
+    }
+
+    /// The same by what the users state of the job or its class.
+    fn stated_slack(&self, job: &Job, run: f64, wall: u64) -> Option<f64> {
         let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
         let class = &job.spec.class;
         let start = self
@@ -430,17 +446,10 @@
             .spec
             .deadline_s
             .map(|deadline| deadline - age - run - self.quickest().as_secs_f64());
-        let stated = [start, finish, deadline]
+        [start, finish, deadline]
             .into_iter()
             .flatten()
-            .min_by(f64::total_cmp);
-        stated.or_else(|| {
-            // Work of which nobody says when it should start or end.
-            let begun = !job.live().is_empty() || !job.done().is_empty();
-            let longest = if begun { LONGEST_UNTIMED } else { LONGEST_WAIT };
-            let batch = job.spec.kind == JobKind::Batch;
-            batch.then_some(longest.as_secs_f64() * PATIENCE - age)
-        })
+            .min_by(f64::total_cmp)
     }
 
     /// The shortest usual time until a new machine is up.
@@ -596,6 +605,23 @@
     }
 }
 
+/// Whether some task of a job has been started.
+fn begun(job: &Job) -> bool {
+    !job.live().is_empty() || !job.done().is_empty()
+}
+
+/// Seconds until work should start of which nobody says when it should start or
+/// end.
+fn untimed_slack(job: &Job, wall: u64) -> f64 {
+    let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
+    let longest = if begun(job) {
+        LONGEST_UNTIMED
+    } else {
+        LONGEST_WAIT
+    };
+    longest.as_secs_f64() * PATIENCE - age
+}
+
 /// Cores that a job's tasks can have of these bins, now or when what runs
 /// there without a higher priority has ended.
 fn room<'a>(spec: &JobSpec, bins: impl Iterator<Item = &'a Bin>) -> f64 {
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -58,6 +58,7 @@
     ) -> Option<(MachineId, Victims)> {
         let spec = &job.spec;
         let zones = self.live_zones(job);
+        let stays = self.stays_with_services(job, &zones, pass);
         let mut best: Option<(Duration, MachineId, Victims)> = None;
         for (at, slot) in pass.slots.iter().enumerate() {
             let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
@@ -66,6 +67,7 @@
             let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, pass, at);
             if !zone_ok
                 || late
+                || (stays && slot.barren)
                 || !self.worth_it(job, slot)
                 || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
             {
