Room is made for as many tasks as wait; late jobs go by the next time they can make

Jobs past their deadline went last, and missed 1.5 times it and 250 s too.

Change: a pass reckons room being made once, takes what each task is meant to get from it, and chooses up to 64 victims; work of equal priority still gives way one task at a time. Jobs are ordered by the next of their stated times that they can still make.

--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -99,6 +99,9 @@
     pub wait_within: HashMap<String, Duration>,
     /// Longest good time until the end, by class.
     pub finish_within: HashMap<String, Duration>,
+    /// The multiples of their deadlines by which jobs of a class had better be
+    /// done, rising.
+    pub deadline_times: HashMap<String, Vec<f64>>,
     pub report: Duration,
     pub worker_lease: Duration,
     /// How long another controller may go on answering workers on its own.
@@ -138,6 +141,7 @@
                 .collect(),
             wait_within: within(&given.objectives, "wait"),
             finish_within: within(&given.objectives, "finished"),
+            deadline_times: deadline_times(&given.objectives),
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
             alone: standing::longest(settings),
@@ -179,6 +183,23 @@
         .collect()
 }
 
+/// The multiples of deadlines that aims name, by class.
+fn deadline_times(objectives: &[Objective]) -> HashMap<String, Vec<f64>> {
+    let mut times: HashMap<String, Vec<f64>> = HashMap::new();
+    for aim in objectives.iter().filter(|aim| aim.kind == "deadline") {
+        let multiple = aim.times.unwrap_or(1.0);
+        if let Some(class) = &aim.class
+            && (0.1..1e3).contains(&multiple)
+        {
+            times.entry(class.clone()).or_default().push(multiple);
+        }
+    }
+    for multiples in times.values_mut() {
+        multiples.sort_by(f64::total_cmp);
+    }
+    times
+}
+
 /// Pause between two counts of what runs, for display and for comparing
 /// machines.
 const COUNT_EVERY: Duration = Duration::from_secs(1);
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -23,6 +23,8 @@
 const MOST_HELD: usize = 16;
 /// Tasks placed in one pass.
 const MOST_PLACED: usize = 256;
+/// Run times are often overestimated by this much.
+const SHORTEST_RUN: f64 = 0.5;
 const SLACK: f64 = 1e-6;
 
 /// A machine that may get tasks, as a placement pass sees it.
@@ -202,7 +204,7 @@
     /// How many of a job's waiting tasks may be started. While machines are
     /// unaccounted for, those that were on machines we knew of: no earlier owner
     /// can have started them elsewhere.
-    fn placeable(&self, job: &Job) -> u32 {
+    pub(super) fn placeable(&self, job: &Job) -> u32 {
         if self.whereabouts_known(job) {
             job.waiting()
         } else if job.spec.one_zone && job.unaccounted() > 0 {
@@ -349,14 +351,41 @@
         }
     }
 
-    /// Jobs that can still be in time go before those that are late already.
+    /// Jobs go by the next time that they can still make; those that can make
+    /// none come last.
     fn queue_key(&self, id: &JobId, wall: u64) -> (bool, u64, u64) {
-        match self.jobs.get(id) {
-            Some(job) => (job.due_ms() < wall, job.due_ms(), job.at_ms),
-            None => (true, u64::MAX, u64::MAX),
+        let Some(job) = self.jobs.get(id) else {
+            return (true, u64::MAX, u64::MAX);
+        };
+        let run = Duration::from_secs_f64(job.spec.duration_s * SHORTEST_RUN);
+        match self.next_due(job, wall + run.as_millis() as u64) {
+            Some(due) => (false, due, job.at_ms),
+            None => (job.due_ms() < wall, job.due_ms(), job.at_ms),
         }
     }
 
+    /// The first time from `from` on by which a job had better be done: its
+    /// deadline, the multiples of it and the time since it came that the users
+    /// state for its class.
+    pub(super) fn next_due(&self, job: &Job, from: u64) -> Option<u64> {
+        let class = &job.spec.class;
+        let after = |s: f64| job.at_ms.saturating_add((s * 1e3) as u64);
+        let stated = self.policy.deadline_times.get(class);
+        let multiples = stated.map_or(&[1.0][..], Vec::as_slice);
+        let deadlines = job
+            .spec
+            .deadline_s
+            .into_iter()
+            .flat_map(|s| multiples.iter().map(move |multiple| s * multiple));
+        let within = self.policy.finish_within.get(class);
+        let finish = within.map(|within| within.as_secs_f64());
+        deadlines
+            .chain(finish)
+            .map(after)
+            .filter(|due| *due >= from)
+            .min()
+    }
+
     fn next_team(
         &self,
         queues: &HashMap<String, VecDeque<JobId>>,
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -432,20 +432,23 @@
     fn stated_slack(&self, job: &Job, run: f64, wall: u64) -> Option<f64> {
         let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
         let class = &job.spec.class;
-        let start = self
-            .policy
-            .wait_within
-            .get(class)
-            .map(|within| within.as_secs_f64() * PATIENCE - age);
-        let finish = self
-            .policy
-            .finish_within
-            .get(class)
-            .map(|within| within.as_secs_f64() * PATIENCE - age - run);
-        let deadline = job
-            .spec
-            .deadline_s
-            .map(|deadline| deadline - age - run - self.quickest().as_secs_f64());
+        // A time that is past, or can't be made any more, hurries nobody.
+        let wait = self.policy.wait_within.get(class);
+        let start = wait
+            .map(|within| within.as_secs_f64())
+            .filter(|within| *within > age)
+            .map(|within| within * PATIENCE - age);
+        let finish = self.policy.finish_within.get(class);
+        let finish = finish
+            .map(|within| within.as_secs_f64())
+            .filter(|within| *within > age + job.spec.duration_s)
+            .map(|within| within * PATIENCE - age - run);
+        let soonest = Duration::from_secs_f64(job.spec.duration_s);
+        let deadline = job.spec.deadline_s.and_then(|_| {
+            let due = self.next_due(job, wall + soonest.as_millis() as u64)?;
+            let left = due.saturating_sub(job.at_ms) as f64 / 1e3 - age;
+            Some(left - run - self.quickest().as_secs_f64())
+        });
         [start, finish, deadline]
             .into_iter()
             .flatten()
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -1,8 +1,11 @@
 //! Making room for work that comes first.
 
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::placement::{Pass, Usage, allowed};
+use super::machines::Amounts;
+use super::placement::{Pass, Slot, Usage, allowed};
 use super::{Attempt, Job, Machine, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 use crate::protocol::{JobId, MachineId, TaskId};
@@ -16,102 +19,210 @@
 const YOUNG: Duration = Duration::from_secs(30);
 /// Jobs looked at in one pass.
 const MOST_JOBS: usize = 8;
+/// Tasks stopped in one pass.
+const MOST_STOPPED: usize = 64;
+
+/// An attempt that is to stop, and what comes instead.
+struct Stop {
+    machine: MachineId,
+    key: (TaskId, u64),
+    comes: Arc<JobSpec>,
+}
+
+/// What making room in one pass has used up so far.
+struct Making {
+    usage: Usage,
+    /// By slot, what is free or being freed, less what it is meant for.
+    room: Vec<Amounts>,
+    stops: Vec<Stop>,
+    /// Attempts that are to stop by now.
+    chosen: HashSet<(TaskId, u64)>,
+}
 
 impl Shard {
     /// Stops what may be stopped for jobs that found no room, the cheapest
     /// lost work first. The room is given out by later passes, in order.
     pub(super) fn preempt(&mut self, stuck: &[JobId], pass: &Pass, now: Instant) {
-        let mut usage = pass.usage.clone();
+        let mut making = Making {
+            usage: pass.usage.clone(),
+            room: self.room_being_made(pass),
+            stops: Vec::new(),
+            chosen: HashSet::new(),
+        };
         for id in stuck.iter().take(MOST_JOBS) {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let spec = job.spec.clone();
-            if !self.within_limit(&usage, &spec) {
-                // Its team's own lesser work may hold the whole limit.
-                if let Some((machine, key)) = self.lesser_of_team(&spec, now) {
-                    self.stop_for_room(&machine, &key, &spec);
-                }
-                continue;
+            if let Some(job) = self.jobs.get(id) {
+                self.make_room(job, pass, &mut making, now);
             }
-            let guaranteed = self.within_guarantee(&usage, &spec);
-            if let Some((machine, victims)) =
-                self.cheapest_victims(job, guaranteed, &usage, pass, now)
-            {
-                for key in victims {
-                    self.stop_for_room(&machine, &key, &spec);
-                }
-                usage.add(&spec, 1);
+            if making.chosen.len() >= MOST_STOPPED {
+                break;
             }
         }
+        for stop in making.stops {
+            self.stop_for_room(&stop.machine, &stop.key, &stop.comes);
+        }
     }
 
-    /// The victims on one machine that make room for one task, or an empty
-    /// list if room is being made there already.
-    fn cheapest_victims(
-        &self,
-        job: &Job,
-        guaranteed: bool,
-        usage: &Usage,
-        pass: &Pass,
-        now: Instant,
-    ) -> Option<(MachineId, Victims)> {
+    /// By slot, what is free or will be once all that is to stop has stopped.
+    fn room_being_made(&self, pass: &Pass) -> Vec<Amounts> {
+        let of = |slot: &Slot| {
+            let mut room = slot.free;
+            if let Some(machine) = self.machines.get(&slot.id).filter(|m| m.tally.stopping) {
+                let stopping = machine.attempts.values().filter(|a| !a.ended());
+                for spec in stopping
+                    .filter(|a| a.stop.is_some())
+                    .filter_map(|a| a.spec.as_ref())
+                {
+                    room.give(spec);
+                }
+            }
+            room
+        };
+        pass.slots.iter().map(of).collect()
+    }
+
+    /// Finds room for as many of a job's tasks as wait: what is being made
+    /// already, then what the cheapest victims would leave.
+    fn make_room(&self, job: &Job, pass: &Pass, making: &mut Making, now: Instant) {
         let spec = &job.spec;
-        let zones = self.live_zones(job);
+        let mut zones = self.live_zones(job);
         let stays = self.stays_with_services(job, &zones, pass);
-        let mut best: Option<(Duration, MachineId, Victims)> = None;
-        for (at, slot) in pass.slots.iter().enumerate() {
-            let zone_ok = (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
-                && (!spec.scatter
-                    || zones.get(&slot.zone).copied().unwrap_or(0) < spec.tasks.div_ceil(2));
-            let late = spec.kind == JobKind::Standing && self.slot_is_late(spec, pass, at);
-            if !zone_ok
-                || late
-                || (stays && slot.barren)
-                || !self.worth_it(job, slot)
-                || !allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
-            {
-                continue;
-            }
-            let machine = self.machines.get(&slot.id)?;
-            let tally = &machine.tally;
-            let room = slot.free.holds(spec) || tally.stopping;
-            if !(room || guaranteed || tally.has_lesser(spec.priority)) {
-                continue;
-            }
-            let mut free = slot.free;
-            let mut candidates = Vec::new();
-            for (key, attempt) in machine.attempts.iter().filter(|(_, a)| !a.ended()) {
-                let Some(other) = &attempt.spec else {
-                    continue;
-                };
-                if attempt.stop.is_some() {
-                    free.give(other);
-                } else if self.may_stop(spec, other, guaranteed, usage) {
-                    candidates.push((other.priority, harm(attempt, now), key, attempt));
+        let suits: Vec<usize> = (0..pass.slots.len())
+            .filter(|at| {
+                let slot = &pass.slots[*at];
+                allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
+                    && self.worth_it(job, slot)
+                    && !(stays && slot.barren)
+                    && !(spec.kind == JobKind::Standing && self.slot_is_late(spec, pass, *at))
+            })
+            .collect();
+        // Work of equal priority is stopped one task at a time: each stop loses
+        // as much as it helps, and most that is short ends soon by itself.
+        let stopping = |slot: &Slot| {
+            let machine = self.machines.get(&slot.id);
+            machine.is_some_and(|machine| machine.tally.stopping)
+        };
+        let guaranteed = self.within_guarantee(&making.usage, spec)
+            && making.chosen.is_empty()
+            && !pass.slots.iter().any(stopping);
+        let mut prices: Option<BTreeMap<(Duration, usize), Victims>> = None;
+        for _ in 0..self.placeable(job) {
+            if !self.within_limit(&making.usage, spec) {
+                // Its team's own lesser work may hold the whole limit.
+                if let Some((machine, key)) = self.lesser_of_team(spec, now) {
+                    making.stops.push(Stop {
+                        machine,
+                        key,
+                        comes: spec.clone(),
+                    });
                 }
+                return;
             }
-            if free.holds(spec) {
-                return Some((slot.id.clone(), Vec::new()));
+            let zone_ok = |at: usize, zones: &BTreeMap<Arc<str>, u32>| {
+                let there = zones.get(&pass.slots[at].zone).copied();
+                (!spec.one_zone || zones.is_empty() || there.is_some())
+                    && (!spec.scatter || there.unwrap_or(0) < spec.tasks.div_ceil(2))
+            };
+            let there = suits
+                .iter()
+                .copied()
+                .find(|at| making.room[*at].holds(spec) && zone_ok(*at, &zones));
+            if there.is_none() && making.chosen.len() >= MOST_STOPPED {
+                return;
             }
-            candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
-            let mut cost = Duration::ZERO;
-            let mut victims = Vec::new();
-            for (_, lost, key, attempt) in candidates {
-                if free.holds(spec) {
-                    break;
+            let price =
+                |at: &usize, making: &Making| self.price(*at, spec, guaranteed, pass, making, now);
+            let at = match there {
+                Some(at) => at,
+                None => {
+                    let prices = prices.get_or_insert_with(|| {
+                        suits.iter().filter_map(|at| price(at, making)).collect()
+                    });
+                    let mut cheapest = prices.keys().copied();
+                    let Some(best) = cheapest.find(|(_, at)| zone_ok(*at, &zones)) else {
+                        return;
+                    };
+                    for key in prices.remove(&best).unwrap_or_default() {
+                        self.choose_victim(best.1, key, pass, making, spec);
+                    }
+                    best.1
                 }
-                if let Some(other) = &attempt.spec {
-                    free.give(other);
-                    cost += lost;
-                    victims.push(key.clone());
+            };
+            making.room[at].take(spec);
+            making.usage.add(spec, 1);
+            if there.is_none() {
+                if guaranteed {
+                    return;
+                }
+                if let Some(prices) = &mut prices {
+                    prices.extend(price(&at, making));
                 }
             }
-            if free.holds(spec) && best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, slot.id.clone(), victims));
+            if spec.one_zone || spec.scatter {
+                *zones.entry(pass.slots[at].zone.clone()).or_insert(0) += 1;
+            }
+        }
+    }
+
+    /// Notes that an attempt is to stop.
+    fn choose_victim(
+        &self,
+        at: usize,
+        key: (TaskId, u64),
+        pass: &Pass,
+        making: &mut Making,
+        comes: &Arc<JobSpec>,
+    ) {
+        let id = &pass.slots[at].id;
+        let attempt = self.machines.get(id).and_then(|m| m.attempts.get(&key));
+        if let Some(spec) = attempt.and_then(|attempt| attempt.spec.as_ref()) {
+            making.room[at].give(spec);
+        }
+        making.chosen.insert(key.clone());
+        making.stops.push(Stop {
+            machine: id.clone(),
+            key,
+            comes: comes.clone(),
+        });
+    }
+
+    /// The cheapest victims on one machine that make room for one more task, and
+    /// what they lose.
+    fn price(
+        &self,
+        at: usize,
+        spec: &JobSpec,
+        guaranteed: bool,
+        pass: &Pass,
+        making: &Making,
+        now: Instant,
+    ) -> Option<((Duration, usize), Victims)> {
+        let machine = self.machines.get(&pass.slots[at].id)?;
+        if !(guaranteed || machine.tally.has_lesser(spec.priority)) {
+            return None;
+        }
+        let mut candidates: Vec<_> = machine
+            .attempts
+            .iter()
+            .filter(|(key, a)| !a.ended() && a.stop.is_none() && !making.chosen.contains(*key))
+            .filter_map(|(key, attempt)| {
+                let other = attempt.spec.as_ref()?;
+                let may_stop = self.may_stop(spec, other, guaranteed, &making.usage);
+                may_stop.then(|| (other.priority, harm(attempt, now), key, other))
+            })
+            .collect();
+        candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
+        let mut free = making.room[at];
+        let mut lost = Duration::ZERO;
+        let mut victims = Vec::new();
+        for (_, harm, key, other) in candidates {
+            if free.holds(spec) {
+                break;
             }
+            free.give(other);
+            lost += harm;
+            victims.push(key.clone());
         }
-        best.map(|(_, machine, victims)| (machine, victims))
+        (free.holds(spec) && !victims.is_empty()).then_some(((lost, at), victims))
     }
 
     /// The cheapest task of lower priority of the same team, unless one is
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -52,8 +52,23 @@
 
     /// Among controllers that may answer workers on their own for so long.
     fn among(alone: Duration, loaded: Loaded) -> Self {
+        Self::under(Policy { alone, ..policy() }, loaded)
+    }
+
+    /// Where no team is guaranteed anything: what is not needed goes back.
+    fn without_guarantees() -> Self {
+        let mut policy = Policy {
+            alone: Duration::ZERO,
+            ..policy()
+        };
+        for team in policy.teams.values_mut() {
+            *team = Default::default();
+        }
+        Self::under(policy, Loaded::default())
+    }
+
+    fn under(policy: Policy, loaded: Loaded) -> Self {
         let now = Instant::now();
-        let policy = Policy { alone, ..policy() };
         let mut shard = Shard::take_over(policy, TERM, loaded, now, 0);
         shard.set_types(&machine_types());
         let mut script = Self {
@@ -1003,3 +1018,96 @@
         ..Loaded::default()
     }
 }
+
+/// Runs all that is decided on a machine: it answers and reports as told.
+fn obey(script: &mut Script, id: &str) -> Vec<Command> {
+    let mut told = Vec::new();
+    for batch in script.batches() {
+        if *batch.0 == *id {
+            told.extend(batch.2.iter().cloned());
+        }
+        let tasks = script.machine(&batch.0).attempts.keys().cloned();
+        let running = |(task, take): (TaskId, u64)| TaskReport {
+            task,
+            attempt: take,
+            state: TaskState::Running,
+            ending: None,
+        };
+        let tasks = tasks.map(running).collect();
+        let report = script.report_of(&batch.0, TERM, tasks);
+        script.answered(&batch, CommandOutcome::Executed(report));
+    }
+    told
+}
+
+fn stops(commands: &[Command]) -> usize {
+    let stop = |command: &&Command| matches!(command, Command::Stop { .. });
+    commands.iter().filter(stop).count()
+}
+
+/// Found on a burst: each pass saw the one task being stopped as the room for
+/// all that waited, so that a thousand cores of lesser work gave way one by one.
+#[test]
+fn room_is_made_for_as_many_tasks_as_wait() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    let lesser = JobSpec {
+        priority: Priority::BestEffort,
+        ..spec("blue", 1.0, 8)
+    };
+    script.submit("run-1", lesser);
+    obey(&mut script, "vm-1");
+    script.submit("run-2", spec("blue", 1.0, 5));
+    assert_eq!(stops(&obey(&mut script, "vm-1")), 5);
+    script.pass(Duration::from_millis(300));
+    assert_eq!(
+        stops(&obey(&mut script, "vm-1")),
+        0,
+        "room is being made for all"
+    );
+}
+
+/// Found on a burst: machines rented for batch work had to be kept for minutes,
+/// for one replica each that had come while they were there.
+#[test]
+fn services_take_the_place_of_lesser_work_among_services() {
+    let mut script = Script::without_guarantees();
+    let service = |tasks| JobSpec {
+        kind: JobKind::Standing,
+        priority: Priority::Prod,
+        duration_s: 0.0,
+        ..spec("red", 1.0, tasks)
+    };
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", service(1));
+    obey(&mut script, "vm-1");
+    script.submit("run-2", spec("blue", 1.0, 7));
+    obey(&mut script, "vm-1");
+    assert!(script.machine("vm-1").tally.tasks.len() == 2, "full");
+    // Another machine has room, but no services.
+    script.report("vm-2", Vec::new());
+    script.pass(Duration::from_secs(1));
+    script.submit("run-3", service(1));
+    assert_eq!(stops(&obey(&mut script, "vm-1")), 1);
+    assert!(script.machine("vm-2").tally.idle());
+}
+
+/// Found on a burst: jobs that had missed their deadline waited behind all
+/// others, and missed every later time that counts as well.
+#[test]
+fn a_late_job_goes_by_the_next_time_that_it_can_make() {
+    let mut script = Script::new(Loaded::default());
+    script.shard.policy.deadline_times = [("sums".to_owned(), vec![1.0, 1.5])].into();
+    script.shard.policy.finish_within = [("sums".to_owned(), Duration::from_secs(250))].into();
+    let job = JobSpec {
+        deadline_s: Some(60.0),
+        ..spec("red", 1.0, 1)
+    };
+    script.submit("run-1", job);
+    let job = &script.shard.jobs()["run-1"];
+    let due = |wall| script.shard.next_due(job, wall);
+    assert_eq!(due(1_000), Some(60_000));
+    assert_eq!(due(60_001), Some(90_000));
+    assert_eq!(due(90_001), Some(250_000));
+    assert_eq!(due(250_001), None);
+}
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -92,6 +92,7 @@
         .into(),
         wait_within: HashMap::new(),
         finish_within: HashMap::new(),
+        deadline_times: HashMap::new(),
         report: Duration::from_secs(3),
         worker_lease: LEASE,
         alone: ALONE,
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -46,6 +46,8 @@
     pub within_s: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
+    #[serde(default)]
+    pub times: Option<f64>,
 }
 
 /// How workers behave.
