--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -34,9 +34,6 @@
 /// Machines are often up later than usual by this much.
 const BOOT_MARGIN: f64 = 1.2;
 
-/// The same of the slow ones: who can't wait for so long finds room ready.
-const SLOW_BOOT: u32 = 2;
-
 /// A machine that comes this much too late is worth half as much.
 const LATE_DOUBLES_S: f64 = 30.0;
 
@@ -472,28 +469,18 @@
         let quickest = self.quickest();
         for (class, history) in &self.fleet.classes {
             let within = self.policy.wait_within.get(class).copied();
-            // Some machines boot far more slowly than usual.
-            let Some(within) = within.filter(|within| *within <= quickest * SLOW_BOOT) else {
+            if within.is_none_or(|within| within > quickest) {
                 continue;
-            };
+            }
             let rate = history.rate(now);
-            // Until a usual machine is up, or for as long as a slow one is late.
-            let window = if within <= quickest {
-                quickest.as_secs_f64() * 1.5 + 10.0
-            } else {
-                (quickest * SLOW_BOOT).saturating_sub(within).as_secs_f64() + 5.0
-            };
-            let expected = rate * window;
+            let expected = rate * (quickest.as_secs_f64() * 1.5 + 10.0);
             let running = self
                 .jobs
                 .values()
                 .filter(|job| job.spec.class == *class)
                 .map(|job| job.live().len())
                 .sum::<usize>() as f64;
-            let mut count = expected + expected.sqrt();
-            if within <= quickest {
-                count = count.max(running * self.policy.headroom);
-            }
+            let count = (expected + expected.sqrt()).max(running * self.policy.headroom);
             demands.push(Demand {
                 spec: history.spec.clone(),
                 count: count.ceil().clamp(1.0, 1000.0) as u32,
