A kind of machine that is used up is left alone for longer each time

A plan asks for the cheapest kind that has not refused within 15 s, one request at a time; with eighteen kinds, most of them used up, it came back to the first before it had reached the last.

Change: each refusal in a row doubles the pause, up to eight times; machines given back, or a request filled, end it.

--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -34,6 +34,9 @@
 /// Names of machines that are gone are kept at least this long.
 const REMEMBER_GONE: Duration = Duration::from_secs(900);
 
+/// How often the pause after a refusal doubles at the most.
+const LONGEST_REFUSAL: u32 = 3;
+
 /// Pause before a rental or a deletion is tried again.
 const RETRY: Duration = Duration::from_secs(1);
 
@@ -55,6 +58,17 @@
     retry: Option<Instant>,
 }
 
+/// A machine type in a zone, spot or not.
+pub(super) type Kind = (String, String, bool);
+
+/// A kind of machine of which the cloud had too few.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    until: Instant,
+    /// How often in a row.
+    times: u32,
+}
+
 /// What is known of a class of jobs.
 #[derive(Debug)]
 pub(super) struct ClassHistory {
@@ -87,7 +101,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     pub(super) bookings: BTreeMap<String, Booking>,
-    pub(super) refused: HashMap<(String, String, bool), Instant>,
+    refused: HashMap<Kind, Refusal>,
     next_booking: u64,
     last_plan: Option<Instant>,
     pub(super) classes: BTreeMap<String, ClassHistory>,
@@ -96,6 +110,23 @@
 }
 
 impl Fleet {
+    /// Whether a kind is better not asked for now.
+    pub(super) fn refuses(&self, kind: &Kind, now: Instant) -> bool {
+        self.refused
+            .get(kind)
+            .is_some_and(|refusal| refusal.until > now)
+    }
+
+    /// The cloud has too few of a kind. Each time in a row it is left alone for
+    /// twice as long: where many kinds are used up, asking them all again in turn
+    /// would never come to the one of which there is more.
+    fn note_refusal(&mut self, kind: Kind, pause: Duration, now: Instant) {
+        let times = self.refused.get(&kind).map_or(0, |refusal| refusal.times);
+        let until = now + pause * (1 << times.min(LONGEST_REFUSAL));
+        let times = times + 1;
+        self.refused.insert(kind, Refusal { until, times });
+    }
+
     /// Remembers a job that was accepted at a moment not long before `now`.
     pub fn note_arrival(&mut self, spec: &JobSpec, at: Instant, now: Instant) {
         let history = self
@@ -254,8 +285,15 @@
             if done {
                 // The machine and everything on it are gone.
                 self.empty_machine(id, now);
-                if self.machines.remove(id).is_some() {
+                if let Some(machine) = self.machines.remove(id) {
                     self.record_gone(id);
+                    // There is one more to be had of its kind.
+                    let kind = (
+                        machine.machine_type.to_string(),
+                        machine.zone.to_string(),
+                        machine.spot,
+                    );
+                    self.fleet.refused.remove(&kind);
                 }
                 self.gone.insert(id.clone(), now);
             } else if let Some(machine) = self.machines.get_mut(id) {
@@ -283,7 +321,9 @@
             }
             RentalOutcome::Rented(names) => {
                 if (names.len() as u32) < rental.count {
-                    self.fleet.refused.insert(key, now + self.policy.refused);
+                    self.fleet.note_refusal(key, self.policy.refused, now);
+                } else {
+                    self.fleet.refused.remove(&key);
                 }
                 tracing::info!(
                     request,
@@ -305,7 +345,7 @@
                 }
             }
             RentalOutcome::NoCapacity | RentalOutcome::Rejected => {
-                self.fleet.refused.insert(key, now + self.policy.refused);
+                self.fleet.note_refusal(key, self.policy.refused, now);
             }
         }
         self.fleet.bookings.remove(request);
@@ -471,3 +511,32 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Found at full size: with eighteen kinds of which the cheap ones were used
+    /// up, asking these again every 15 s left no time to ask for the others.
+    #[test]
+    fn a_kind_that_is_used_up_is_left_alone_for_longer_each_time() {
+        let start = Instant::now();
+        let pause = Duration::from_secs(15);
+        let kind: Kind = ("m8".into(), "north".into(), true);
+        let mut fleet = Fleet::default();
+        assert!(!fleet.refuses(&kind, start));
+        let mut now = start;
+        for times in [1, 2, 4, 8, 8] {
+            fleet.note_refusal(kind.clone(), pause, now);
+            now += pause * times;
+            assert!(fleet.refuses(&kind, now - Duration::from_secs(1)));
+            assert!(!fleet.refuses(&kind, now));
+        }
+        fleet.refused.remove(&kind);
+        fleet.note_refusal(kind.clone(), pause, now);
+        assert!(
+            !fleet.refuses(&kind, now + pause),
+            "some were to be had since"
+        );
+    }
+}
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -556,12 +556,7 @@
                         continue;
                     }
                     let key = (kind.name.clone(), zone.clone(), spot);
-                    if self
-                        .fleet
-                        .refused
-                        .get(&key)
-                        .is_some_and(|until| *until > now)
-                    {
+                    if self.fleet.refuses(&key, now) {
                         continue;
                     }
                     let run = if spec.duration_s > 0.0 {
