Workers don't keep their connections when places run short

Change: when 70 % of the front's places are taken, reports are answered with Connection: close, so that fewer workers stay connected than there are sockets and users and the balancer always find a place.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -25,7 +25,7 @@
 use crate::storage::records::OwnerRecord;
 use crate::telemetry::Activities;
 use crate::transport::client::HttpClient;
-use crate::transport::limit::Limited;
+use crate::transport::limit::{Limited, Places};
 use crate::transport::{front, internal};
 
 /// How long another controller counts as heard.
@@ -62,6 +62,12 @@
 /// Least pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
+/// A share of the sockets, in percent, as places for connections.
+fn places(settings: &Settings, share: usize) -> Places {
+    let sockets = settings.platform.settings.resources.max_connections;
+    Places::new(sockets * share / 100)
+}
+
 /// The pause between two looks that keeps all controllers' together within
 /// their share of the state service's requests.
 fn look_pace(settings: &Settings) -> Duration {
@@ -153,6 +159,8 @@
     pub probes: Semaphore,
     /// This controller's share of the writes, for users.
     pub user_writes: Turns,
+    /// Places for users, workers and the balancer.
+    pub front_places: Places,
     pub peers_http: HttpClient,
     /// Tells this run of the process from earlier ones.
     pub run: u64,
@@ -169,6 +177,7 @@
         let user_writes = Turns::new(rate, LONGEST_TURN);
         Arc::new(Self {
             policy: Policy::new(&settings),
+            front_places: places(&settings, FRONT_SHARE),
             settings,
             clock,
             state,
@@ -456,11 +465,10 @@
     tokio::spawn(peering::pulse(node.clone()));
     tokio::spawn(peering::keep_workers(node.clone()));
     tokio::spawn(ownership::seek_ownership(node.clone()));
-    let sockets = platform.settings.resources.max_connections;
     let idle = platform.settings.workers.report() * IDLE_REPORTS;
-    let limited = |listener, share| Limited::new(listener, sockets * share / 100, idle);
-    let front_listener = limited(front_listener, FRONT_SHARE);
-    let internal_listener = limited(internal_listener, INTERNAL_SHARE);
+    let front_listener = Limited::new(front_listener, node.front_places.clone(), idle);
+    let internal_places = places(&node.settings, INTERNAL_SHARE);
+    let internal_listener = Limited::new(internal_listener, internal_places, idle);
     let front = axum::serve(front_listener, front::router(node.clone()));
     let internal = axum::serve(internal_listener, internal::router(node.clone()));
     tokio::try_join!(front.into_future(), internal.into_future())
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -85,7 +85,18 @@
     respond(requests::answer(&node, Ask::Cancel(id), false).await)
 }
 
+/// Workers come again every few seconds: when connections run short, they are
+/// told not to keep theirs.
 async fn report(State(node): App, body: Body) -> Response {
+    let mut response = answer_report(&node, body).await;
+    if node.front_places.crowded() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn answer_report(node: &Arc<Node>, body: Body) -> Response {
     let Some(report) = read_body(body)
         .await
         .and_then(|body| serde_json::from_slice::<Report>(&body).ok())
--- a/src/transport/limit.rs
+++ b/src/transport/limit.rs
@@ -17,20 +17,48 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Sleep;
 
+/// Share of a server's places, in percent, past which it is crowded.
+const CROWDED: usize = 70;
+
+/// The places for a server's connections; clones share them.
+#[derive(Debug, Clone)]
+pub struct Places {
+    free: Arc<Semaphore>,
+    most: usize,
+}
+
+impl Places {
+    pub fn new(most: usize) -> Self {
+        let most = most.max(1);
+        Self {
+            free: Arc::new(Semaphore::new(most)),
+            most,
+        }
+    }
+
+    /// Whether so many are taken that who comes again anyway had better not stay:
+    /// there may be more workers than sockets, and users and the balancer need
+    /// some as well.
+    pub fn crowded(&self) -> bool {
+        (self.most - self.free.available_permits()) * 100 > self.most * CROWDED
+    }
+}
+
 /// Accepts at most a number of connections at a time.
 pub struct Limited {
     listener: TcpListener,
-    free: Arc<Semaphore>,
+    places: Places,
     idle: Duration,
 }
 
 impl Limited {
-    /// At most so many connections, each closed after being idle for so long.
-    pub fn new(listener: TcpListener, most: usize, idle: Duration) -> Self {
+    /// As many connections as there are places, each closed after being idle for
+    /// so long.
+    pub fn new(listener: TcpListener, places: Places, idle: Duration) -> Self {
         Self {
             listener,
             idle,
-            free: Arc::new(Semaphore::new(most.max(1))),
+            places,
         }
     }
 }
@@ -42,7 +70,7 @@
     async fn accept(&mut self) -> (Self::Io, Self::Addr) {
         // The semaphore is never closed; without a permit a connection would
         // only go uncounted.
-        let permit = self.free.clone().acquire_owned().await.ok();
+        let permit = self.places.free.clone().acquire_owned().await.ok();
         let (stream, addr) = Listener::accept(&mut self.listener).await;
         // Small answers must not wait for one another.
         let _ = stream.set_nodelay(true);
@@ -135,7 +163,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let idle = Duration::from_millis(80);
-        let mut limited = Limited::new(listener, 1, idle);
+        let mut limited = Limited::new(listener, Places::new(1), idle);
         let mut gone = TcpStream::connect(addr).await.expect("connects");
         let (mut held, _) = limited.accept().await;
         let begun = Instant::now();
@@ -154,7 +182,7 @@
     async fn a_further_connection_waits_until_one_is_closed() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("an address");
-        let mut limited = Limited::new(listener, 1, Duration::from_secs(60));
+        let mut limited = Limited::new(listener, Places::new(1), Duration::from_secs(60));
         let _first = TcpStream::connect(addr).await.expect("connects");
         let (held, _) = limited.accept().await;
         let _second = TcpStream::connect(addr)
@@ -165,4 +193,22 @@
         drop(held);
         limited.accept().await;
     }
+
+    /// Found with more machines than sockets: those that held a connection kept
+    /// all others out until their leases ended.
+    #[tokio::test]
+    async fn places_are_crowded_before_they_are_full() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let places = Places::new(10);
+        let mut limited = Limited::new(listener, places.clone(), Duration::from_secs(60));
+        let mut held = Vec::new();
+        for n in 1..=8 {
+            let stream = TcpStream::connect(addr).await.expect("connects");
+            held.push((limited.accept().await, stream));
+            assert_eq!(places.crowded(), n > 7);
+        }
+        held.pop();
+        assert!(!places.crowded());
+    }
 }
