--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -112,7 +112,7 @@
             }
         },
         Err(CallError::NotSent) => CommandOutcome::NotSent,
-        Err(CallError::NoAnswer) => CommandOutcome::NoAnswer,
+        Err(CallError::NoAnswer | CallError::TooLarge) => CommandOutcome::NoAnswer,
     }
 }
 
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -12,7 +12,7 @@
 use thiserror::Error;
 
 /// Largest answer that is read.
-const MAX_ANSWER: usize = 4 << 20;
+pub const MAX_ANSWER: usize = 4 << 20;
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -23,6 +23,9 @@
     /// The request may have been carried out, or may still be.
     #[error("no answer")]
     NoAnswer,
+    /// It was carried out, and its answer is larger than any that is read.
+    #[error("answer too large")]
+    TooLarge,
 }
 
 /// An answer.
@@ -84,7 +87,13 @@
             let body = Limited::new(response.into_body(), MAX_ANSWER)
                 .collect()
                 .await
-                .map_err(|_| CallError::NoAnswer)?
+                .map_err(|error| {
+                    if error.is::<LengthLimitError>() {
+                        CallError::TooLarge
+                    } else {
+                        CallError::NoAnswer
+                    }
+                })?
                 .to_bytes();
             Ok(Answer { status, body })
         };
