A pulse without a term takes nothing back; safety and design of standing loans

Found by arguing the standing loan again: an owner counts on a controller that answered its pulse to keep nothing for 3 s, but a later pulse of the same owner without a term, sent past its deadline or delivered late, made that controller forget that it had heard the term. The highest term heard and its moment are now kept apart from the last pulse; the test sends such a pulse.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -134,6 +134,10 @@
     /// The owner's term under which this node may answer workers that the
     /// owner can't hear, and until when.
     pub keeping: Option<Keeping>,
+    /// The highest term that a pulse named, and when one last did. A pulse
+    /// without a term, late or of an owner past its deadline, changes nothing:
+    /// the owner counts on its having been heard.
+    pub owner_heard: Option<(u64, Instant)>,
     /// What the owner's last answer to a pulse entitles to.
     pub standing: Option<StandingLoan>,
     /// When a worker was last answered by such a loan.
@@ -286,9 +290,8 @@
         let loan = inner.standing.into_iter().chain(own);
         let loan = loan.max_by_key(|loan| loan.term)?;
         let until = loan.until(looked, standing::longest(&self.settings))?;
-        let owner_heard = inner.peers.values().any(|view| {
-            view.pulse.term.is_some_and(|term| term >= loan.term)
-                && now.saturating_duration_since(view.at) < standing::OWNER_SILENT
+        let owner_heard = inner.owner_heard.is_some_and(|(term, at)| {
+            term >= loan.term && now.saturating_duration_since(at) < standing::OWNER_SILENT
         });
         if now >= until || owner_heard || report.term > loan.term {
             return None;
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -215,6 +215,11 @@
             .map(|row| (row.job, (row.done, row.running)))
             .collect();
     }
+    if let Some(term) = pulse.term
+        && inner.owner_heard.is_none_or(|(known, _)| term >= known)
+    {
+        inner.owner_heard = Some((term, at));
+    }
     if pulse.term.is_some() && pulse.main_zone.is_some() {
         inner.main_zone.clone_from(&pulse.main_zone);
     }
@@ -750,6 +755,12 @@
             ..Pulse::default()
         };
         heard_pulse(&node, pulse);
+        // An older one without a term, which comes late, takes nothing back.
+        let before = Pulse {
+            label: "beta".into(),
+            ..Pulse::default()
+        };
+        heard_pulse(&node, before);
         assert_eq!(node.keeps(&report), None);
         clock.advance(standing::OWNER_SILENT);
         assert_eq!(node.keeps(&report), Some(7));
