A machine is emptied only beside room for services to come

Change: no machine is emptied unless the room among services then left holds what is likely to come while a slow machine boots.

--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -224,15 +224,37 @@
         }
         worth.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut rooms = self.rooms_for_services(bins);
+        let spare: f64 = rooms.iter().map(|room| room.free.cores.max(0.0)).sum();
+        let mut spare = spare - self.services_to_come(now);
         let mut picked = Vec::new();
         for (_, machine) in worth.into_iter().take(most + CANDIDATES) {
-            if picked.len() < most && self.move_into(machine, &mut rooms) {
+            let kind = self.types.get(&*machine.machine_type);
+            let cores = kind.map_or(0.0, |kind| kind.cores);
+            if picked.len() < most && spare >= cores && self.move_into(machine, &mut rooms) {
+                spare -= cores;
                 picked.push(machine.id.clone());
             }
         }
         picked
     }
 
+    /// Cores that services are likely to ask for before a new machine is up: with
+    /// less room among services than that, none is emptied.
+    pub(super) fn services_to_come(&self, now: Instant) -> f64 {
+        if self.policy.holds_capacity() {
+            return 0.0;
+        }
+        let boot = self.quickest().as_secs_f64() * 2.0;
+        let classes = self.fleet.classes.values();
+        classes
+            .filter(|class| class.spec.kind == JobKind::Standing)
+            .map(|class| {
+                let tasks = class.rate(now) * boot;
+                (tasks + tasks.sqrt()) * class.spec.cores
+            })
+            .sum()
+    }
+
     /// The machines that services could move to, and the room that they have.
     fn rooms_for_services<'a>(&'a self, bins: &'a [Bin]) -> Vec<Room<'a>> {
         bins.iter()
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -456,7 +456,7 @@
     }
 
     /// The shortest usual time until a new machine is up.
-    fn quickest(&self) -> Duration {
+    pub(super) fn quickest(&self) -> Duration {
         self.types
             .values()
             .map(|kind| startup(kind))
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -1111,3 +1111,27 @@
     assert_eq!(due(90_001), Some(250_000));
     assert_eq!(due(250_001), None);
 }
+
+/// Found on days without troubles: machines were emptied until the others were full
+/// of services, and each that came then waited for a machine to boot.
+#[test]
+fn machines_are_emptied_only_beside_room_for_services_to_come() {
+    let mut script = Script::without_guarantees();
+    script.submit("run-0", spec("red", 1.0, 50));
+    assert_eq!(script.shard.services_to_come(script.now), 0.0, "batch work");
+    for n in 1..=12 {
+        let service = JobSpec {
+            class: "web".into(),
+            kind: JobKind::Standing,
+            ..spec("red", 1.0, 2)
+        };
+        script.submit(&format!("run-{n}"), service);
+        script.pass(Duration::from_secs(10));
+    }
+    // A task each 5 s, for the 20 s that a slow boot takes, and the root of that.
+    let to_come = script.shard.services_to_come(script.now);
+    assert!((4.0..8.0).contains(&to_come), "{to_come}");
+    let held = Script::new(Loaded::default());
+    assert!(held.shard.policy.holds_capacity());
+    assert_eq!(held.shard.services_to_come(held.now), 0.0);
+}
