--- /dev/null
+++ b/src/coordination/answering.rs
@@ -0,0 +1,53 @@
+//! What a worker's report is answered: the one place that decides whether its
+//! lease goes on.
+
+use std::sync::Arc;
+
+use super::node::Node;
+use super::shard::{ReportOutcome, keeper_commands};
+use crate::protocol::workers::{Redirect, Report, ReportAnswer};
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// 200: the worker's lease goes on, and it executes these commands.
+    Renewed(ReportAnswer),
+    /// 503: its machine is known to be gone, or a higher term is about.
+    Refused,
+    /// 421: this controller isn't entitled to answer; that one may be.
+    Elsewhere(Redirect),
+}
+
+/// Answers a report as the owner, or in its stead, or sends its worker on.
+pub fn answer_report(node: &Arc<Node>, report: &Report) -> Verdict {
+    let now = node.now();
+    node.lock().workers.insert(report.machine.clone(), now);
+    if let Some(tenure) = node.live_tenure() {
+        let outcome = node.with_shard(&tenure, "reports", |shard, now| shard.report(report, now));
+        // The shard took a moment: only a tenure that still holds may answer.
+        let now = node.now();
+        match outcome {
+            Some(ReportOutcome::Refuse) if tenure.live(now) => return Verdict::Refused,
+            Some(ReportOutcome::Answer(commands)) if tenure.live(now) => {
+                if !node.may_renew_leases(now) {
+                    return Verdict::Elsewhere(Redirect { owner: None });
+                }
+                let term = tenure.term;
+                return Verdict::Renewed(ReportAnswer { term, commands });
+            }
+            _ => {}
+        }
+    }
+    if node.may_renew_leases(node.now())
+        && let Some(term) = node.keeps(report)
+    {
+        // An owner past its deadline stays informed: it may go on.
+        if let Some(tenure) = node.tenure().filter(|tenure| tenure.term == term) {
+            node.with_shard(&tenure, "reports", |shard, now| shard.report(report, now));
+        }
+        let commands = keeper_commands(report, |job| node.ledger.is_open(job));
+        return Verdict::Renewed(ReportAnswer { term, commands });
+    }
+    let owner = node.owner_label().filter(|label| label != node.label());
+    Verdict::Elsewhere(Redirect { owner })
+}
--- /dev/null
+++ b/src/coordination/awareness.rs
@@ -0,0 +1,78 @@
+//! Up to when a controller knows of every cancellation that users were told.
+//!
+//! An answer to a report lets a worker's tasks live on for its whole lease. So
+//! nobody may give one unless all cancellations are known that users may have
+//! been told longer ago than `cancel_s` less that lease. Two things count as
+//! knowledge: a look at the jobs, from when it was sent; and what every other
+//! controller says that it told, from when it was asked. Who started since the
+//! moment up to which it is known may have told something in an earlier run
+//! that it has forgotten: its word doesn't count, and the bound holds.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use super::standing;
+use crate::settings::Settings;
+
+/// The least that a look at the jobs entitles to, where cancelled work has no
+/// more time than a worker's lease takes: no answer at all would end all work.
+const LEAST: Duration = Duration::from_secs(3);
+
+/// For how long workers may be answered after the moment up to which all
+/// cancellations are known.
+pub fn bound(settings: &Settings) -> Duration {
+    standing::beyond_lease(settings).max(LEAST)
+}
+
+/// What one controller knows of the cancellations told by all.
+#[derive(Debug, Default)]
+pub struct Awareness {
+    /// When the last look at the jobs was sent.
+    looked: Option<Instant>,
+    /// By controller: the moment up to which all that it told is known, and the
+    /// run of its process that said so.
+    words: HashMap<String, Instant>,
+}
+
+impl Awareness {
+    /// A look at the jobs that was sent then was answered, and taken in.
+    pub fn looked(&mut self, sent: Instant) {
+        self.looked = self.looked.max(Some(sent));
+    }
+
+    /// When the last look was sent.
+    pub fn last_look(&self) -> Option<Instant> {
+        self.looked
+    }
+
+    /// The moment up to which all that one controller told is known.
+    fn of(&self, label: &str) -> Option<Instant> {
+        self.looked.max(self.words.get(label).copied())
+    }
+
+    /// A controller that began no later than `began` was asked at `sent` for
+    /// all cancellations that it told since the last look, and they were taken
+    /// in. False if its word doesn't count.
+    pub fn word(&mut self, label: &str, sent: Instant, began: Instant) -> bool {
+        let unbroken = self.of(label).is_some_and(|known| began < known);
+        if unbroken {
+            let known = self.words.entry(label.to_owned()).or_insert(sent);
+            *known = (*known).max(sent);
+        }
+        unbroken
+    }
+
+    /// The moment up to which all that these controllers told is known: `now`
+    /// if there are none, since this one knows what it told itself.
+    pub fn known_up_to<'a>(
+        &self,
+        others: impl Iterator<Item = &'a str>,
+        now: Instant,
+    ) -> Option<Instant> {
+        self.looked?;
+        others
+            .map(|label| self.of(label))
+            .min()
+            .unwrap_or(Some(now))
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,7 @@
 //! Who owns what, and what an owner does with it.
 
+pub mod answering;
+pub mod awareness;
 pub mod io;
 pub mod lease;
 pub mod node;
@@ -8,3 +10,6 @@
 pub mod requests;
 pub mod shard;
 pub mod standing;
+
+#[cfg(test)]
+mod tests;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -8,13 +8,15 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
-use tracing::info;
+use tracing::{info, warn};
 
+use super::awareness::{self, Awareness};
 use super::lease::Tenure;
-use super::shard::{Policy, Shard};
+use super::shard::{Job, Policy, Shard};
 use super::standing::{self, Lender, StandingLoan};
 use super::{io, ownership, peering};
 use crate::clock::{Clock, SteadyClock};
+use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::peers::Pulse;
 use crate::protocol::workers::Report;
@@ -22,7 +24,7 @@
 use crate::storage::budget::Turns;
 use crate::storage::client::{StateClient, StateError, backoff};
 use crate::storage::ledger::Ledger;
-use crate::storage::records::OwnerRecord;
+use crate::storage::records::{JobRecord, OwnerRecord};
 use crate::telemetry::Activities;
 use crate::transport::client::HttpClient;
 use crate::transport::limit::{Limited, Places};
@@ -98,6 +100,8 @@
     pub shard: Shard,
     /// The standing loans that this tenure's pulses gave.
     pub lender: Lender,
+    /// How much of what is over the shard was told, by the ledger's count.
+    pub endings: Option<u64>,
     /// What the shard's events cost.
     pub activities: Activities,
 }
@@ -146,6 +150,13 @@
     pub kept: BTreeMap<String, Report>,
     /// Until when this node should rather not own the shard.
     pub deaf_until: Option<Instant>,
+    /// Up to when cancellations are known here.
+    pub awareness: Awareness,
+    /// Workers are not answered, since too little is known.
+    pub uninformed: bool,
+    /// Controllers of an older version, which know no other frames than their
+    /// own, and when they last showed it.
+    pub older: HashMap<String, Instant>,
 }
 
 /// A controller.
@@ -169,6 +180,9 @@
     /// Tells this run of the process from earlier ones.
     pub run: u64,
     pub started: Instant,
+    /// For how long workers may be answered after the moment up to which all
+    /// cancellations are known.
+    renewal_bound: Duration,
     inner: Mutex<Inner>,
 }
 
@@ -182,6 +196,7 @@
         Arc::new(Self {
             policy: Policy::new(&settings),
             front_places: places(&settings, FRONT_SHARE),
+            renewal_bound: awareness::bound(&settings),
             settings,
             clock,
             state,
@@ -209,8 +224,78 @@
 
     /// Brings the ledger of jobs up to date; what it says afterwards was true
     /// at some moment after this call.
-    pub async fn look(&self) -> Result<(), StateError> {
-        self.ledger.look(&self.state, &*self.clock).await
+    pub async fn look(self: &Arc<Self>) -> Result<(), StateError> {
+        let sent = self.ledger.look(&self.state, &*self.clock).await?;
+        self.tell_endings();
+        self.lock().awareness.looked(sent);
+        Ok(())
+    }
+
+    /// Tells the shard, if this node runs it, of jobs that the ledger knows to
+    /// be over: whatever the ledger knows, the owner has to act on.
+    pub fn tell_endings(self: &Arc<Self>) {
+        let endings = self.ledger.endings();
+        let tenure = {
+            let mut inner = self.lock();
+            let Some(own) = inner.ownership.as_mut() else {
+                return;
+            };
+            if own.endings.replace(endings) == Some(endings) {
+                return;
+            }
+            own.tenure.clone()
+        };
+        self.with_shard(&tenure, "jobs", |shard, _| {
+            let ended = |job: &&Job| job.over.is_none() && self.ledger.has_ended(&job.id, job.mark);
+            let over: Vec<JobId> = shard
+                .jobs()
+                .values()
+                .filter(ended)
+                .map(|job| job.id.clone())
+                .collect();
+            for id in over {
+                let stage = self.ledger.final_state(&id).map(|(stage, _)| stage);
+                shard.job_gone(&id, stage);
+            }
+        });
+    }
+
+    /// Tells the shard of an accepted job, unless it is known to be over since.
+    pub fn tell_accepted(
+        &self,
+        shard: &mut Shard,
+        id: &str,
+        mark: u64,
+        record: JobRecord,
+        now: Instant,
+    ) {
+        if !self.ledger.has_ended(id, mark) {
+            shard.job_put(id, mark, record, now);
+        }
+    }
+
+    /// The moment up to which all cancellations that users were told are known.
+    fn known_up_to(&self, inner: &Inner, now: Instant) -> Option<Instant> {
+        let others = &self.settings.platform.others;
+        let labels = others.iter().map(|peer| peer.label.as_str());
+        inner.awareness.known_up_to(labels, now)
+    }
+
+    /// Whether this node knows enough of the jobs that are over to answer
+    /// workers, as whatever: their tasks may live on for a lease.
+    pub fn may_renew_leases(&self, now: Instant) -> bool {
+        let mut inner = self.lock();
+        let known = self.known_up_to(&inner, now);
+        let may = known.is_some_and(|known| now < known + self.renewal_bound);
+        if inner.uninformed == may {
+            inner.uninformed = !may;
+            if may {
+                info!("workers are answered again: cancellations are known");
+            } else {
+                warn!("workers are not answered: cancellations may have been missed");
+            }
+        }
+        may
     }
 
     pub fn label(&self) -> &str {
@@ -280,8 +365,8 @@
             return None;
         }
         let now = self.now();
-        let looked = self.ledger.looked();
         let mut inner = self.lock();
+        let known = self.known_up_to(&inner, now);
         let own = inner.ownership.as_ref().filter(|own| !own.tenure.ended());
         let own = own.map(|own| StandingLoan {
             term: own.tenure.term,
@@ -289,7 +374,7 @@
         });
         let loan = inner.standing.into_iter().chain(own);
         let loan = loan.max_by_key(|loan| loan.term)?;
-        let until = loan.until(looked, standing::longest(&self.settings))?;
+        let until = loan.until(known, standing::longest(&self.settings))?;
         let owner_heard = inner.owner_heard.is_some_and(|(term, at)| {
             term >= loan.term && now.saturating_duration_since(at) < standing::OWNER_SILENT
         });
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -301,9 +301,12 @@
             tenure: tenure.clone(),
             shard,
             lender: Lender::default(),
+            endings: None,
             activities: Activities::default(),
         });
     }
+    // The ledger may know of endings since what was loaded was read.
+    node.tell_endings();
     let types = node.lock().types.clone();
     node.with_shard(&tenure, "types", |shard, _| {
         if let Some(types) = types {
@@ -465,7 +468,7 @@
                                     hold: None,
                                 };
                                 if let Some((id, mark, record)) = read_job(item) {
-                                    shard.job_put(&id, mark, record, now);
+                                    node.tell_accepted(shard, &id, mark, record, now);
                                 }
                             }
                             News::Delete { key, .. } => {
@@ -480,7 +483,9 @@
             Err(StateError::TooOld) => match node.state.list(keys::JOBS, STATE_DEADLINE).await {
                 Ok((items, at)) => {
                     revision = at;
-                    let jobs: Vec<_> = items.into_iter().filter_map(read_job).collect();
+                    let open = |(id, mark, _): &(String, u64, _)| !node.ledger.has_ended(id, *mark);
+                    let jobs = items.into_iter().filter_map(read_job);
+                    let jobs: Vec<_> = jobs.filter(open).collect();
                     node.with_shard(&tenure, "jobs", |shard, now| {
                         shard.jobs_reread(jobs, at, now)
                     });
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -14,6 +14,9 @@
     PeerAnswer, PeerRequest, Progress, Pulse, decode_answer, encode_request,
 };
 use crate::protocol::state::{Change, Txn};
+use crate::protocol::tidings::{
+    CANCELLATIONS, CancellationsAsked, CancellationsTold, CancelledJob,
+};
 use crate::protocol::workers::Report;
 use crate::settings::platform::Peer;
 use crate::storage::keys;
@@ -33,6 +36,12 @@
 /// How long a new owner listens before it may call itself deaf: every machine
 /// was asked for a report at once.
 const LISTENING: Duration = Duration::from_secs(2);
+/// Age of the last look at the jobs past which others are asked what they told.
+const LOOK_LATE: Duration = Duration::from_secs(2);
+/// Pause before a controller of an older version is asked again.
+const ASK_OLDER_AGAIN: Duration = Duration::from_secs(10);
+/// Drift of steady clocks to reckon with, both ways together.
+const DRIFT: f64 = 0.002;
 /// A peer's pulse older than this means that it can't be reached.
 const PULSE_FRESH: Duration = Duration::from_secs(3);
 /// A peer's pulse older than this, two rounds, means that it may be cut off.
@@ -110,6 +119,93 @@
     all
 }
 
+/// What this node has told users of cancellations since a revision.
+pub fn cancellations_told(node: &Node, asked: &CancellationsAsked) -> CancellationsTold {
+    let jobs = node.ledger.cancelled_after(asked.after);
+    let up = node.now().saturating_duration_since(node.started);
+    CancellationsTold {
+        up_ms: up.as_millis() as u64,
+        jobs: jobs.map(|jobs| {
+            let job = |(job, revision)| CancelledJob { job, revision };
+            jobs.into_iter().map(job).collect()
+        }),
+    }
+}
+
+/// Takes in what a controller that was asked at `sent` has told users.
+pub fn note_told(node: &Arc<Node>, label: &str, sent: Instant, told: CancellationsTold) {
+    let Some(jobs) = told.jobs else {
+        return;
+    };
+    let cancelled = jobs.into_iter().map(|told| (told.job, told.revision));
+    node.ledger.note_cancelled(cancelled.collect());
+    node.tell_endings();
+    // Its clock may run slow against ours.
+    let up = Duration::from_millis(told.up_ms).mul_f64(1.0 - DRIFT);
+    let began = node.now().checked_sub(up).unwrap_or(node.now());
+    let counts = node.lock().awareness.word(label, sent, began);
+    if !counts {
+        tracing::debug!(
+            peer = label,
+            "its word on cancellations doesn't count: it began too late"
+        );
+    }
+}
+
+/// While the state service doesn't tell the owner which jobs are over, the other
+/// controllers do: one of them may have been served, and have cancelled some.
+fn ask_what_was_told(node: &Arc<Node>) {
+    let now = node.now();
+    let Some(after) = node.ledger.revision() else {
+        return;
+    };
+    let asked: Vec<Peer> = {
+        let inner = node.lock();
+        let looked = inner.awareness.last_look();
+        if inner.ownership.is_none()
+            || looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK_LATE)
+        {
+            return;
+        }
+        let older = |peer: &&Peer| {
+            let shown = inner.older.get(&peer.label);
+            shown.is_none_or(|at| now.saturating_duration_since(*at) > ASK_OLDER_AGAIN)
+        };
+        let others = node.settings.platform.others.iter();
+        others.filter(older).cloned().collect()
+    };
+    for peer in asked {
+        tokio::spawn(ask_for_word(node.clone(), peer, after));
+    }
+}
+
+async fn ask_for_word(node: Arc<Node>, peer: Peer, after: u64) {
+    let sent = node.now();
+    let frame = CancellationsAsked { after }.encode();
+    let answer = node
+        .peers_http
+        .call(
+            Method::POST,
+            peer.address,
+            CANCELLATIONS,
+            frame,
+            PULSE_DEADLINE,
+        )
+        .await;
+    let Ok(answer) = answer else {
+        return;
+    };
+    if let Some(told) = CancellationsTold::decode(&answer.body).filter(|_| answer.status == 200) {
+        node.lock().older.remove(&peer.label);
+        note_told(&node, &peer.label, sent, told);
+    } else if node.lock().older.insert(peer.label.clone(), sent).is_none() {
+        tracing::info!(
+            peer = peer.label,
+            "an older version: it doesn't say which cancellations it told"
+        );
+    }
+}
+
 /// What this node says of itself.
 pub fn own_pulse(node: &Node) -> Pulse {
     let now = node.now();
@@ -155,7 +251,7 @@
 }
 
 /// Takes in the answer to a pulse that was sent at `sent` under the term `told`.
-fn pulse_answered(node: &Node, pulse: Pulse, sent: Instant, told: Option<u64>) {
+pub(super) fn pulse_answered(node: &Node, pulse: Pulse, sent: Instant, told: Option<u64>) {
     let now = node.now();
     let kept = now.checked_sub(Duration::from_millis(pulse.kept_ago_ms));
     {
@@ -257,6 +353,7 @@
                 }
             });
         }
+        ask_what_was_told(&node);
         // A look at the state service keeps this node's picture of it fresh.
         let probing = node.clone();
         tokio::spawn(async move {
@@ -646,150 +743,3 @@
                 && view.pulse.up_s > LEAST_TENURE.as_secs() / 2
         })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::super::lease::Tenure;
-    use super::super::node::Ownership;
-    use super::super::shard::{Loaded, Shard};
-    use super::super::standing::Lender;
-    use super::*;
-    use crate::clock::FakeClock;
-    use crate::settings::{Operator, Platform, Settings};
-
-    fn node(clock: Arc<FakeClock>) -> Arc<Node> {
-        // Nothing listens on port 1: every request to the state service fails.
-        let text = crate::settings::platform::tests::EXAMPLE.replace("127.0.0.1:4", "127.0.0.1:1");
-        let platform = Platform::parse("example", &text).expect("valid settings");
-        let settings = Settings {
-            platform,
-            operator: Operator::default(),
-        };
-        Node::new(settings, clock)
-    }
-
-    fn report(term: u64) -> Report {
-        Report {
-            machine: "vm-1".into(),
-            addr: "10.0.0.1:9000".into(),
-            machine_type: "m8".into(),
-            zone: "north".into(),
-            spot: false,
-            session: 1,
-            seq: 1,
-            term,
-            notice_s: None,
-            tasks: Vec::new(),
-        }
-    }
-
-    #[tokio::test]
-    async fn a_promise_needs_an_outage_and_is_kept() {
-        let clock = Arc::new(FakeClock::new());
-        let node = node(clock.clone());
-        let time = Duration::from_secs(1);
-        assert!(!promise(&node, time), "nothing shows an outage yet");
-        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
-        assert!(promise(&node, time));
-        assert!(!promise(&node, time * 10), "longer than any owner may ask");
-        assert!(node.may_not_seek().is_some());
-        clock.advance(Duration::from_millis(999));
-        assert!(node.may_not_seek().is_some(), "kept to its end");
-        clock.advance(Duration::from_millis(10));
-        // A process that has just started also waits out its earlier run's.
-        assert!(node.may_not_seek().is_none());
-        node.lock().acquiring = true;
-        assert!(!promise(&node, time), "an attempt of its own is under way");
-    }
-
-    /// A controller that loses the state service and all others, but not its
-    /// workers: it answers neither users nor workers, and leaves the balancer.
-    #[tokio::test]
-    async fn a_controller_cut_off_from_all_is_unready_and_says_so_at_once() {
-        use crate::coordination::requests::{Ask, answer};
-        let clock = Arc::new(FakeClock::new());
-        let node = node(clock.clone());
-        node.lock().types = Some(Vec::new());
-        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
-        let peer = Pulse {
-            label: "beta".into(),
-            ..Pulse::default()
-        };
-        heard_pulse(&node, peer.clone());
-        assert!(node.ready(), "an outage for all: nobody is served anyway");
-        clock.advance(Duration::from_secs(3));
-        assert!(!node.ready());
-        let reply = answer(&node, Ask::Poll("run-1".into()), false).await;
-        assert_eq!(reply.status, 503);
-        assert!(node.live_tenure().is_none() && node.owner_label().is_none());
-        heard_pulse(&node, peer);
-        assert!(node.ready());
-    }
-
-    /// Cut off with its workers, a controller goes on answering them by the
-    /// owner's last word, for as long as a cancelled job's tasks have and no more.
-    #[tokio::test]
-    async fn a_controller_cut_from_store_and_owner_keeps_workers_for_a_while() {
-        let clock = Arc::new(FakeClock::new());
-        let node = node(clock.clone());
-        let mut report = report(5);
-        node.ledger.note_look(node.now());
-        let owner = Pulse {
-            label: "beta".into(),
-            term: Some(7),
-            ..Pulse::default()
-        };
-        pulse_answered(&node, owner, node.now(), None);
-        clock.advance(standing::OWNER_SILENT);
-        assert_eq!(node.keeps(&report), None, "the state service may answer");
-        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
-        assert_eq!(node.keeps(&report), Some(7));
-        assert_eq!(own_pulse(&node).kept_ago_ms, 0);
-        report.term = 8;
-        assert_eq!(node.keeps(&report), None, "the worker obeys another");
-        report.term = 7;
-        // The owner heard again, even by an old message: it answers, not we.
-        let pulse = Pulse {
-            label: "beta".into(),
-            term: Some(7),
-            ..Pulse::default()
-        };
-        heard_pulse(&node, pulse);
-        // An older one without a term, which comes late, takes nothing back.
-        let before = Pulse {
-            label: "beta".into(),
-            ..Pulse::default()
-        };
-        heard_pulse(&node, before);
-        assert_eq!(node.keeps(&report), None);
-        clock.advance(standing::OWNER_SILENT);
-        assert_eq!(node.keeps(&report), Some(7));
-        let workers = &node.settings.platform.settings.workers;
-        clock.advance(workers.cancel() - workers.lease() - standing::OWNER_SILENT * 2);
-        assert_eq!(node.keeps(&report), None, "a job may have been cancelled");
-    }
-
-    /// An owner that a cut has taken from the state service and all others.
-    #[tokio::test]
-    async fn an_owner_past_its_deadline_keeps_its_workers_and_gives_no_commands() {
-        let clock = Arc::new(FakeClock::new());
-        let node = node(clock.clone());
-        let now = node.now();
-        node.ledger.note_look(now);
-        let tenure = Arc::new(Tenure::new(1, 9, now, now + Duration::from_secs(3), now));
-        let shard = Shard::take_over(node.policy.clone(), 9, Loaded::default(), now, 0);
-        node.lock().ownership = Some(Ownership {
-            tenure: tenure.clone(),
-            shard,
-            lender: Lender::default(),
-            activities: Default::default(),
-        });
-        let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
-        clock.advance(Duration::from_secs(4));
-        let report = report(9);
-        assert!(node.live_tenure().is_none());
-        assert_eq!(node.keeps(&report), Some(9));
-        tenure.finish();
-        assert_eq!(node.keeps(&report), None, "its hold is known to have ended");
-    }
-}
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -279,7 +279,7 @@
         TxnOutcome::Committed { revision } => {
             if let Some(tenure) = node.tenure() {
                 node.with_shard(&tenure, "jobs", |shard, now| {
-                    shard.job_put(id, revision, record, now)
+                    node.tell_accepted(shard, id, revision, record, now)
                 });
             }
             Ok(Reply::stage(201, id, Stage::Pending))
@@ -332,12 +332,16 @@
     patient(|| node.state.get(key, STORE)).await
 }
 
-async fn read_final(node: &Node, id: &str) -> Result<Option<FinalRecord>, StateError> {
-    let item = read(node, &keys::final_job(id)).await?;
-    item.map(|item| {
-        serde_json::from_value(item.value).map_err(|e| StateError::Unexpected(e.to_string()))
-    })
-    .transpose()
+/// Reads a job's final record, and notes what it says before anybody is told.
+async fn read_final(node: &Arc<Node>, id: &str) -> Result<Option<FinalRecord>, StateError> {
+    let Some(item) = read(node, &keys::final_job(id)).await? else {
+        return Ok(None);
+    };
+    let last: FinalRecord =
+        serde_json::from_value(item.value).map_err(|e| StateError::Unexpected(e.to_string()))?;
+    node.ledger.note_final(id, &last, item.version);
+    node.tell_endings();
+    Ok(Some(last))
 }
 
 /// Looks for the job among the unfinished ones first: a job moves from there to
@@ -356,10 +360,7 @@
         }
         Known::Over(stage, tasks) => Ok(Reply::view(200, &final_view(id, stage, tasks))),
         Known::Unclear => Ok(match read_final(node, id).await? {
-            Some(last) => {
-                node.ledger.note_final(id, &last);
-                Reply::view(200, &final_view(id, last.stage, last.tasks))
-            }
+            Some(last) => Reply::view(200, &final_view(id, last.stage, last.tasks)),
             None => Reply::not_found(),
         }),
     }
@@ -396,13 +397,9 @@
         let txn = facts::end_job(id, item.version, &last)
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
         match user_write(node, &txn).await? {
-            TxnOutcome::Committed { .. } => {
-                node.ledger.note_final(id, &last);
-                if let Some(tenure) = node.tenure() {
-                    node.with_shard(&tenure, "jobs", |shard, _| {
-                        shard.job_gone(id, Some(Stage::Cancelled));
-                    });
-                }
+            TxnOutcome::Committed { revision } => {
+                node.ledger.note_final(id, &last, revision);
+                node.tell_endings();
                 return Ok(Reply::stage(200, id, Stage::Cancelled));
             }
             TxnOutcome::Conflict => {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -346,7 +346,8 @@
         }
     }
     for ((task, take), attempt) in &machine.attempts {
-        if attempt.in_flight {
+        // A stop may be repeated, and one that is on its way may be lost.
+        if attempt.in_flight && attempt.phase == Phase::Launching {
             continue;
         }
         if attempt.phase == Phase::Launching && attempt.unanswered {
--- a/src/coordination/standing.rs
+++ b/src/coordination/standing.rs
@@ -27,14 +27,17 @@
 /// For how long a controller may keep workers on its own: their leases and this
 /// together stay within the time that a cancelled job's tasks have.
 pub fn longest(settings: &Settings) -> Duration {
-    let workers = &settings.platform.settings.workers;
-    let allowed = workers
-        .cancel()
-        .saturating_sub(workers.lease().mul_f64(DRIFT) + MARGIN);
     if settings.platform.others.is_empty() {
         return Duration::ZERO;
     }
-    allowed.min(settings.operator.keep_alone())
+    beyond_lease(settings).min(settings.operator.keep_alone())
+}
+
+/// The time that a cancelled job's tasks have beyond a worker's lease.
+pub fn beyond_lease(settings: &Settings) -> Duration {
+    let workers = &settings.platform.settings.workers;
+    let lease = workers.lease().mul_f64(DRIFT) + MARGIN;
+    workers.cancel().saturating_sub(lease)
 }
 
 /// What an owner's answer to a pulse entitles to.
@@ -47,10 +50,10 @@
 }
 
 impl StandingLoan {
-    /// Until when workers may be answered, if what jobs are over was last
-    /// looked up by a request sent at `looked`.
-    pub fn until(&self, looked: Option<Instant>, longest: Duration) -> Option<Instant> {
-        let from = self.seen.min(looked?);
+    /// Until when workers may be answered, if all cancellations told before
+    /// `known` are known.
+    pub fn until(&self, known: Option<Instant>, longest: Duration) -> Option<Instant> {
+        let from = self.seen.min(known?);
         Some(from + longest.mul_f64(2.0 - DRIFT).checked_sub(MARGIN / 2)?)
     }
 
--- /dev/null
+++ b/src/coordination/tests/awareness.rs
@@ -0,0 +1,270 @@
+//! Cancellations that an owner isn't told of by the state service.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::{node, peer, report};
+use crate::clock::FakeClock;
+use crate::coordination::answering::{Verdict, answer_report};
+use crate::coordination::awareness::{Awareness, bound};
+use crate::coordination::lease::Tenure;
+use crate::coordination::node::{Node, Ownership, STATE_DEADLINE};
+use crate::coordination::peering::{cancellations_told, note_told};
+use crate::coordination::shard::{Loaded, Shard};
+use crate::coordination::standing::Lender;
+use crate::protocol::TaskId;
+use crate::protocol::state::News;
+use crate::protocol::tidings::{CancellationsAsked, CancellationsTold};
+use crate::protocol::users::{JobSpec, Stage, parse_submission};
+use crate::protocol::workers::{Command, TaskReport, TaskState};
+use crate::storage::keys;
+use crate::storage::records::{FinalRecord, JobRecord, VERSION};
+
+const TERM: u64 = 9;
+/// The revisions at which the job was accepted, looked at, and cancelled.
+const ACCEPTED: u64 = 10;
+const LOOKED: u64 = 12;
+const CANCELLED: u64 = 13;
+
+fn second(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn spec() -> JobSpec {
+    let body = json!({"NameId":"run-000001","Repertoire":"sums","Section":"red","Form":"batch",
+        "Tempo":"high","Voices":1,"Cores":1.0,"Accelerators":0.0,"MemGb":1.0,"Score":"img-07",
+        "ImageGb":1.0,"Instruments":null,"Hall":null,"OneZone":false,"Scatter":false,
+        "Borrowed":true,"DurationS":240.0,"BreathS":0.0,"FermataS":0.0,"CurtainS":null});
+    let (_, spec) = parse_submission(body.to_string().as_bytes()).expect("a submission");
+    spec
+}
+
+/// An owner whose shard runs one job, and its peer, which began at the same time.
+/// The state service has just let the owner look at the jobs; it answers nobody
+/// any more, and the peer promises all along.
+struct Gap {
+    clock: Arc<FakeClock>,
+    owner: Arc<Node>,
+    peer: Arc<Node>,
+    tenure: Arc<Tenure>,
+    seq: u64,
+}
+
+impl Gap {
+    async fn new() -> Self {
+        let clock = Arc::new(FakeClock::new());
+        let (owner, peer) = (node(clock.clone()), peer(clock.clone()));
+        clock.advance(second(5));
+        let now = owner.now();
+        let record = JobRecord {
+            v: VERSION,
+            at_ms: 0,
+            spec: spec(),
+        };
+        let loaded = Loaded {
+            jobs: vec![("run-000001".into(), ACCEPTED, record.clone())],
+            ..Loaded::default()
+        };
+        let tenure = Arc::new(Tenure::new(1, TERM, now, now + second(3), now));
+        let shard = Shard::take_over(owner.policy.clone(), TERM, loaded, now, 0);
+        let opened = News::Put {
+            key: keys::job("run-000001"),
+            value: serde_json::to_value(&record).expect("a record"),
+            version: ACCEPTED,
+        };
+        for node in [&owner, &peer] {
+            node.ledger.take(vec![opened.clone()], LOOKED);
+            node.lock().awareness.looked(now);
+        }
+        owner.lock().ownership = Some(Ownership {
+            tenure: tenure.clone(),
+            shard,
+            lender: Lender::default(),
+            endings: None,
+            activities: Default::default(),
+        });
+        let _ = owner.state.get("o/0/owner", STATE_DEADLINE).await;
+        Self {
+            clock,
+            owner,
+            peer,
+            tenure,
+            seq: 1,
+        }
+    }
+
+    /// The state service refuses the owner alone, and serves the peer, which
+    /// cancels the job and tells its user.
+    fn peer_cancels(&self) {
+        let last = FinalRecord::new(Stage::Cancelled, spec());
+        self.peer.ledger.note_final("run-000001", &last, CANCELLED);
+    }
+
+    /// Time passes in an outage; the owner goes on by promises.
+    fn pass(&self, time: Duration) {
+        self.clock.advance(time);
+        self.tenure.extended(self.owner.now() + second(1));
+    }
+
+    fn told_by(&self, peer: &Node) -> CancellationsTold {
+        let after = self.owner.ledger.revision().expect("a look");
+        let asked = CancellationsAsked { after }.encode();
+        let asked = CancellationsAsked::decode(&asked).expect("a frame");
+        let told = cancellations_told(peer, &asked).encode();
+        CancellationsTold::decode(&told).expect("a frame")
+    }
+
+    /// The owner asks a controller what it told.
+    fn ask(&self, peer: &Node) {
+        note_told(&self.owner, "n1", self.owner.now(), self.told_by(peer));
+    }
+
+    /// The worker that runs the job's task reports to the owner: the commands
+    /// that it is answered, if its lease goes on.
+    fn report(&mut self) -> Option<Vec<Command>> {
+        self.seq += 1;
+        let mut report = report(TERM);
+        report.seq = self.seq;
+        report.tasks = vec![TaskReport {
+            task: TaskId::parse("run-000001/0").expect("a task"),
+            attempt: 1,
+            state: TaskState::Running,
+            ending: None,
+        }];
+        match answer_report(&self.owner, &report) {
+            Verdict::Renewed(answer) => Some(answer.commands),
+            _ => None,
+        }
+    }
+}
+
+fn stops(commands: Option<Vec<Command>>) -> bool {
+    let commands = commands.expect("the worker is answered");
+    commands.iter().any(|c| matches!(c, Command::Stop { .. }))
+}
+
+/// The refusal of the leader alone, a cancellation through another controller, and
+/// an outage for all: the owner learns of the cancellation from that controller,
+/// and no worker loses its lease however long the outage takes.
+#[tokio::test]
+async fn an_owner_learns_from_its_peers_what_they_cancelled_before_an_outage() {
+    let mut gap = Gap::new().await;
+    assert!(!stops(gap.report()));
+    gap.pass(second(1));
+    gap.peer_cancels();
+    gap.pass(second(1));
+    assert!(!stops(gap.report()), "nobody has told it yet");
+    gap.ask(&gap.peer.clone());
+    assert!(stops(gap.report()), "the task is stopped within a report");
+    for _ in 0..100 {
+        gap.pass(second(1));
+        gap.ask(&gap.peer.clone());
+        assert!(gap.report().is_some(), "a word a second keeps all leases");
+    }
+}
+
+/// The same beside a controller that says nothing of what it told: an older
+/// version, or one that can't be reached. The promise alone must not be enough.
+#[tokio::test]
+async fn an_owner_that_can_not_know_of_cancellations_lets_leases_end() {
+    let mut gap = Gap::new().await;
+    let bound = bound(&gap.owner.settings);
+    let workers = &gap.owner.settings.platform.settings.workers;
+    let latest = gap.owner.now() + workers.cancel() - workers.lease();
+    gap.peer_cancels();
+    gap.pass(bound - second(1));
+    assert!(gap.report().is_some());
+    gap.pass(second(1));
+    assert!(gap.owner.now() < latest);
+    assert!(gap.tenure.live(gap.owner.now()), "the promises still come");
+    assert_eq!(gap.report(), None);
+    // The state service answers again: a look, and all is as before.
+    gap.owner.lock().awareness.looked(gap.owner.now());
+    assert!(gap.report().is_some());
+}
+
+/// The controller that cancelled has ended since: its next run remembers nothing,
+/// so that its word doesn't count, however willingly it gives it.
+#[tokio::test]
+async fn the_word_of_a_controller_that_began_later_does_not_count() {
+    let mut gap = Gap::new().await;
+    gap.peer_cancels();
+    gap.pass(second(2));
+    let restarted = peer(gap.clock.clone());
+    restarted.ledger.take(Vec::new(), LOOKED);
+    for _ in 0..40 {
+        gap.pass(second(1));
+        gap.ask(&restarted);
+    }
+    assert_eq!(gap.report(), None);
+}
+
+/// Neither does the word of one that doesn't remember all.
+#[tokio::test]
+async fn a_word_is_exact_or_absent() {
+    let mut gap = Gap::new().await;
+    let last = FinalRecord::new(Stage::Cancelled, spec());
+    for n in 0..3_000 {
+        let id = format!("run-1{n:05}");
+        gap.peer.ledger.note_final(&id, &last, CANCELLED + n);
+    }
+    assert_eq!(gap.told_by(&gap.peer).jobs, None);
+    for _ in 0..40 {
+        gap.pass(second(1));
+        gap.ask(&gap.peer.clone());
+    }
+    assert_eq!(gap.report(), None);
+}
+
+/// What a look tells the ledger, the shard is told as well: its own watch may
+/// hang in a refusal.
+#[tokio::test]
+async fn what_a_look_shows_to_be_over_is_stopped_without_the_watch() {
+    let mut gap = Gap::new().await;
+    let gone = News::Delete {
+        key: keys::job("run-000001"),
+        version: CANCELLED,
+    };
+    gap.owner.ledger.take(vec![gone], CANCELLED);
+    gap.owner.tell_endings();
+    assert!(stops(gap.report()));
+    // The watch, far behind, still tells of its acceptance.
+    let tenure = gap.tenure.clone();
+    let record = JobRecord {
+        v: VERSION,
+        at_ms: 0,
+        spec: spec(),
+    };
+    let known = gap.owner.with_shard(&tenure, "jobs", |shard, now| {
+        gap.owner
+            .tell_accepted(shard, "run-000001", ACCEPTED, record, now);
+        let job = shard.jobs().get("run-000001");
+        job.is_some_and(|job| job.over.is_none())
+    });
+    assert_eq!(known, Some(false), "it is not taken for an open job again");
+}
+
+#[test]
+fn what_is_known_is_as_old_as_the_oldest_word() {
+    let start = Instant::now();
+    let at = |s: u64| start + second(s);
+    let others = || ["b", "c"].into_iter();
+    let mut awareness = Awareness::default();
+    assert!(!awareness.word("b", at(1), start), "no look to add to");
+    assert_eq!(awareness.known_up_to(others(), at(1)), None);
+    awareness.looked(at(2));
+    assert!(awareness.word("b", at(9), start));
+    assert_eq!(awareness.known_up_to(others(), at(9)), Some(at(2)), "c");
+    assert!(awareness.word("c", at(8), at(1)));
+    assert_eq!(awareness.known_up_to(others(), at(9)), Some(at(8)));
+    // It began after what was last known of it: it may have told more before.
+    assert!(!awareness.word("c", at(12), at(8)));
+    assert!(awareness.word("b", at(12), start));
+    assert_eq!(awareness.known_up_to(others(), at(12)), Some(at(8)));
+    awareness.looked(at(13));
+    assert_eq!(awareness.known_up_to(others(), at(14)), Some(at(13)));
+    let none = std::iter::empty();
+    assert_eq!(awareness.known_up_to(none, at(20)), Some(at(20)));
+}
--- /dev/null
+++ b/src/coordination/tests/mod.rs
@@ -0,0 +1,50 @@
+//! Whole controllers on a fake clock, without anything around them.
+
+mod awareness;
+mod peering;
+
+use std::sync::Arc;
+
+use super::node::Node;
+use crate::clock::FakeClock;
+use crate::protocol::workers::Report;
+use crate::settings::platform::tests::EXAMPLE;
+use crate::settings::{Operator, Platform, Settings};
+
+/// The controller `n0`, whose only peer is `n1`.
+fn node(clock: Arc<FakeClock>) -> Arc<Node> {
+    controller(clock, EXAMPLE)
+}
+
+/// The other one.
+fn peer(clock: Arc<FakeClock>) -> Arc<Node> {
+    let text = EXAMPLE
+        .replace("\"n1\"", "\"n2\"")
+        .replace("\"n0\"", "\"n1\"");
+    controller(clock, &text.replace("\"n2\"", "\"n0\""))
+}
+
+fn controller(clock: Arc<FakeClock>, text: &str) -> Arc<Node> {
+    // Nothing listens on port 1: every request to the state service fails.
+    let text = text.replace("127.0.0.1:4", "127.0.0.1:1");
+    let settings = Settings {
+        platform: Platform::parse("example", &text).expect("valid settings"),
+        operator: Operator::default(),
+    };
+    Node::new(settings, clock)
+}
+
+fn report(term: u64) -> Report {
+    Report {
+        machine: "vm-1".into(),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "m8".into(),
+        zone: "north".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        term,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/coordination/tests/peering.rs
@@ -0,0 +1,125 @@
+//! Promises and the keeping of workers, among controllers that don't all hear one
+//! another.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{node, report};
+use crate::clock::FakeClock;
+use crate::coordination::lease::Tenure;
+use crate::coordination::node::{Ownership, STATE_DEADLINE};
+use crate::coordination::peering::{heard_pulse, own_pulse, promise, pulse_answered};
+use crate::coordination::shard::{Loaded, Shard};
+use crate::coordination::standing::{self, Lender};
+use crate::protocol::peers::Pulse;
+
+#[tokio::test]
+async fn a_promise_needs_an_outage_and_is_kept() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    let time = Duration::from_secs(1);
+    assert!(!promise(&node, time), "nothing shows an outage yet");
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    assert!(promise(&node, time));
+    assert!(!promise(&node, time * 10), "longer than any owner may ask");
+    assert!(node.may_not_seek().is_some());
+    clock.advance(Duration::from_millis(999));
+    assert!(node.may_not_seek().is_some(), "kept to its end");
+    clock.advance(Duration::from_millis(10));
+    // A process that has just started also waits out its earlier run's.
+    assert!(node.may_not_seek().is_none());
+    node.lock().acquiring = true;
+    assert!(!promise(&node, time), "an attempt of its own is under way");
+}
+
+/// A controller that loses the state service and all others, but not its
+/// workers: it answers neither users nor workers, and leaves the balancer.
+#[tokio::test]
+async fn a_controller_cut_off_from_all_is_unready_and_says_so_at_once() {
+    use crate::coordination::requests::{Ask, answer};
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    node.lock().types = Some(Vec::new());
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    let peer = Pulse {
+        label: "beta".into(),
+        ..Pulse::default()
+    };
+    heard_pulse(&node, peer.clone());
+    assert!(node.ready(), "an outage for all: nobody is served anyway");
+    clock.advance(Duration::from_secs(3));
+    assert!(!node.ready());
+    let reply = answer(&node, Ask::Poll("run-1".into()), false).await;
+    assert_eq!(reply.status, 503);
+    assert!(node.live_tenure().is_none() && node.owner_label().is_none());
+    heard_pulse(&node, peer);
+    assert!(node.ready());
+}
+
+/// Cut off with its workers, a controller goes on answering them by the
+/// owner's last word, for as long as a cancelled job's tasks have and no more.
+#[tokio::test]
+async fn a_controller_cut_from_store_and_owner_keeps_workers_for_a_while() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    let mut report = report(5);
+    node.lock().awareness.looked(node.now());
+    let owner = Pulse {
+        label: "beta".into(),
+        term: Some(7),
+        ..Pulse::default()
+    };
+    pulse_answered(&node, owner, node.now(), None);
+    clock.advance(standing::OWNER_SILENT);
+    assert_eq!(node.keeps(&report), None, "the state service may answer");
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    assert_eq!(node.keeps(&report), Some(7));
+    assert_eq!(own_pulse(&node).kept_ago_ms, 0);
+    report.term = 8;
+    assert_eq!(node.keeps(&report), None, "the worker obeys another");
+    report.term = 7;
+    // The owner heard again, even by an old message: it answers, not we.
+    let pulse = Pulse {
+        label: "beta".into(),
+        term: Some(7),
+        ..Pulse::default()
+    };
+    heard_pulse(&node, pulse);
+    // An older one without a term, which comes late, takes nothing back.
+    let before = Pulse {
+        label: "beta".into(),
+        ..Pulse::default()
+    };
+    heard_pulse(&node, before);
+    assert_eq!(node.keeps(&report), None);
+    clock.advance(standing::OWNER_SILENT);
+    assert_eq!(node.keeps(&report), Some(7));
+    let workers = &node.settings.platform.settings.workers;
+    clock.advance(workers.cancel() - workers.lease() - standing::OWNER_SILENT * 2);
+    assert_eq!(node.keeps(&report), None, "a job may have been cancelled");
+}
+
+/// An owner that a cut has taken from the state service and all others.
+#[tokio::test]
+async fn an_owner_past_its_deadline_keeps_its_workers_and_gives_no_commands() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    let now = node.now();
+    node.lock().awareness.looked(now);
+    let tenure = Arc::new(Tenure::new(1, 9, now, now + Duration::from_secs(3), now));
+    let shard = Shard::take_over(node.policy.clone(), 9, Loaded::default(), now, 0);
+    node.lock().ownership = Some(Ownership {
+        tenure: tenure.clone(),
+        shard,
+        lender: Lender::default(),
+        endings: None,
+        activities: Default::default(),
+    });
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    clock.advance(Duration::from_secs(4));
+    let report = report(9);
+    assert!(node.live_tenure().is_none());
+    assert_eq!(node.keeps(&report), Some(9));
+    tenure.finish();
+    assert_eq!(node.keeps(&report), None, "its hold is known to have ended");
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod cloud;
 pub mod peers;
 pub mod state;
+pub mod tidings;
 pub mod users;
 pub mod workers;
 
--- /dev/null
+++ b/src/protocol/tidings.rs
@@ -0,0 +1,61 @@
+//! Frames that controllers exchange beside those of [`super::peers`].
+//!
+//! An archived frame has no room for a field more, and the version in
+//! production reads no other than its own: those stay as they are. What came
+//! later has a path of its own, which an older controller answers with 404, and
+//! a version, so that what comes later yet is told from it.
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// The path at which controllers answer for what they told users.
+pub const CANCELLATIONS: &str = "/peer/cancellations/1";
+
+/// Which cancellations have you told users since this revision?
+#[derive(Debug, Clone, Archive, Serialize, Deserialize)]
+pub struct CancellationsAsked {
+    pub after: u64,
+}
+
+/// What a controller told users, in this run of its process.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct CancellationsTold {
+    /// How long this run has lasted.
+    pub up_ms: u64,
+    /// All of them; none if it doesn't know them all any more.
+    pub jobs: Option<Vec<CancelledJob>>,
+}
+
+/// A job that its user was told is cancelled.
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct CancelledJob {
+    pub job: String,
+    /// The revision at which it was.
+    pub revision: u64,
+}
+
+/// Copies a frame to where it may be read: archives are aligned.
+fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
+    aligned.extend_from_slice(bytes);
+    aligned
+}
+
+impl CancellationsAsked {
+    pub fn encode(&self) -> Vec<u8> {
+        rkyv::to_bytes::<rkyv::rancor::Error>(self).map_or_else(|_| Vec::new(), |b| b.to_vec())
+    }
+
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned(bytes)).ok()
+    }
+}
+
+impl CancellationsTold {
+    pub fn encode(&self) -> Vec<u8> {
+        rkyv::to_bytes::<rkyv::rancor::Error>(self).map_or_else(|_| Vec::new(), |b| b.to_vec())
+    }
+
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned(bytes)).ok()
+    }
+}
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -98,7 +98,7 @@
 }
 
 /// The answer to a report.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct ReportAnswer {
     #[serde(rename = "Baton")]
     pub term: u64,
@@ -118,7 +118,7 @@
 }
 
 /// Where a worker should report instead.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Redirect {
     #[serde(rename = "Conductor", skip_serializing_if = "Option::is_none")]
     pub owner: Option<String>,
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -5,7 +5,7 @@
 //! its revision, so whatever the ledger says then was true at some moment
 //! after the look was sent. Final states never change and need no look.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,8 @@
 
 /// Final states that are remembered; older ones are read singly.
 const MOST_FINAL: usize = 20_000;
+/// Cancelled jobs of which other controllers can be told.
+const MOST_CANCELLED: usize = 2_000;
 /// Deadline of a look.
 const LOOK: Duration = Duration::from_millis(1200);
 /// Deadline of reading all open jobs.
@@ -38,20 +40,33 @@
 struct Book {
     /// The revision up to which it is complete; None before the first load.
     revision: Option<u64>,
-    /// When the last look that was answered was sent.
-    looked: Option<Instant>,
     open: HashSet<String>,
     over: HashMap<String, (Stage, u32)>,
     /// Final jobs in the order in which they came.
     order: VecDeque<String>,
+    /// Cancelled jobs by the revision at which they were, the latest ones.
+    cancelled: BTreeMap<u64, String>,
+    /// What was cancelled up to this revision isn't all in there any more.
+    dropped: u64,
+    /// How often something was found to be open no more.
+    endings: u64,
 }
 
 impl Book {
-    fn remember(&mut self, id: &str, stage: Stage, tasks: u32) {
+    fn remember(&mut self, id: &str, stage: Stage, tasks: u32, revision: u64) {
         self.open.remove(id);
+        self.endings += 1;
         if self.over.insert(id.to_owned(), (stage, tasks)).is_none() {
             self.order.push_back(id.to_owned());
         }
+        if stage == Stage::Cancelled {
+            self.cancelled.insert(revision, id.to_owned());
+        }
+        while self.cancelled.len() > MOST_CANCELLED {
+            if let Some((revision, _)) = self.cancelled.pop_first() {
+                self.dropped = self.dropped.max(revision);
+            }
+        }
         while self.order.len() > MOST_FINAL {
             if let Some(oldest) = self.order.pop_front() {
                 self.over.remove(&oldest);
@@ -65,23 +80,29 @@
             .filter_map(|item| item.key.strip_prefix(keys::JOBS));
         self.open = ids.map(str::to_owned).collect();
         self.revision = Some(revision);
+        self.endings += 1;
     }
 
     fn take(&mut self, events: Vec<News>, revision: u64) {
         for event in events {
             match event {
-                News::Put { key, value, .. } => {
+                News::Put {
+                    key,
+                    value,
+                    version,
+                } => {
                     if let Some(id) = key.strip_prefix(keys::JOBS) {
                         self.open.insert(id.to_owned());
                     } else if let Some(id) = key.strip_prefix(keys::FINAL_JOBS)
                         && let Ok(last) = serde_json::from_value::<FinalRecord>(value)
                     {
-                        self.remember(id, last.stage, last.tasks);
+                        self.remember(id, last.stage, last.tasks, version);
                     }
                 }
                 News::Delete { key, .. } => {
                     if let Some(id) = key.strip_prefix(keys::JOBS) {
                         self.open.remove(id);
+                        self.endings += 1;
                     }
                 }
             }
@@ -119,24 +140,49 @@
         self.book().over.get(id).copied()
     }
 
-    /// Notes a final record that was written or read.
-    pub fn note_final(&self, id: &str, last: &FinalRecord) {
-        self.book().remember(id, last.stage, last.tasks);
+    /// Notes a final record that was written or read at a revision.
+    pub fn note_final(&self, id: &str, last: &FinalRecord, revision: u64) {
+        self.book().remember(id, last.stage, last.tasks, revision);
     }
 
-    /// Whether a job was open at the last look.
-    pub fn is_open(&self, id: &str) -> bool {
-        self.book().open.contains(id)
+    /// Another controller says that these jobs were cancelled, and when.
+    pub fn note_cancelled(&self, cancelled: Vec<(String, u64)>) {
+        let mut book = self.book();
+        for (id, revision) in cancelled {
+            // Its number of tasks doesn't matter: none of them counts as done.
+            let tasks = book.over.get(&id).map_or(0, |(_, tasks)| *tasks);
+            book.remember(&id, Stage::Cancelled, tasks, revision);
+        }
     }
 
-    /// A look sent then was answered.
-    pub(crate) fn note_look(&self, sent: Instant) {
-        self.book().looked = Some(sent);
+    /// All jobs that were cancelled after a revision, as far as this controller
+    /// has told anybody, with their revisions; None if they may not be all.
+    pub fn cancelled_after(&self, revision: u64) -> Option<Vec<(String, u64)>> {
+        let book = self.book();
+        let after = book.cancelled.range(revision.saturating_add(1)..);
+        (revision >= book.dropped).then(|| after.map(|(at, id)| (id.clone(), *at)).collect())
     }
 
-    /// When the last look that was answered was sent.
-    pub fn looked(&self) -> Option<Instant> {
-        self.book().looked
+    /// The revision up to which it is complete.
+    pub fn revision(&self) -> Option<u64> {
+        self.book().revision
+    }
+
+    /// Rises whenever something is found to be open no more.
+    pub fn endings(&self) -> u64 {
+        self.book().endings
+    }
+
+    /// Whether a job whose record has this version is known to be over.
+    pub fn has_ended(&self, id: &str, version: u64) -> bool {
+        let book = self.book();
+        book.over.contains_key(id)
+            || (!book.open.contains(id) && book.revision.is_some_and(|at| version <= at))
+    }
+
+    /// Whether a job was open at the last look.
+    pub fn is_open(&self, id: &str) -> bool {
+        self.book().open.contains(id)
     }
 
     /// What is known of a job, as of the last look.
@@ -149,25 +195,31 @@
         }
     }
 
-    /// Returns once a look that was sent after this call has been answered.
-    /// All who wait when it is sent share it, and its failure.
-    pub async fn look(&self, state: &StateClient, clock: &dyn Clock) -> Result<(), StateError> {
+    /// Returns once a look that was sent after this call has been answered, with
+    /// the moment at which it was. All who wait then share it, and its failure.
+    pub async fn look(
+        &self,
+        state: &StateClient,
+        clock: &dyn Clock,
+    ) -> Result<Instant, StateError> {
         let asked = clock.now();
         let mut last = self.last.lock().await;
         if let Some((sent, result)) = &*last {
             if *sent >= asked {
-                return result.clone();
+                return result.clone().map(|()| *sent);
             }
             let rest = (*sent + self.pace).saturating_duration_since(clock.now());
             tokio::time::sleep(rest).await;
         }
         let sent = clock.now();
         let result = self.refresh(state).await;
-        if result.is_ok() {
-            self.note_look(sent);
-        }
         *last = Some((sent, result.clone()));
-        result
+        result.map(|()| sent)
+    }
+
+    /// Takes in all changes up to a revision.
+    pub(crate) fn take(&self, events: Vec<News>, revision: u64) {
+        self.book().take(events, revision);
     }
 
     async fn refresh(&self, state: &StateClient) -> Result<(), StateError> {
@@ -175,7 +227,7 @@
         if let Some(revision) = revision {
             match state.look(keys::ALL_JOBS, revision, LOOK).await {
                 Ok(page) => {
-                    self.book().take(page.events, page.revision);
+                    self.take(page.events, page.revision);
                     return Ok(());
                 }
                 Err(StateError::TooOld) => {}
@@ -218,10 +270,12 @@
             6,
         );
         assert_eq!(ledger.find("run-1"), Known::Unclear, "its record tells");
-        ledger.book().remember("run-1", Stage::Done, 3);
+        ledger.book().remember("run-1", Stage::Done, 3, 6);
         assert_eq!(ledger.find("run-1"), Known::Over(Stage::Done, 3));
         for n in 0..MOST_FINAL {
-            ledger.book().remember(&format!("run-9{n}"), Stage::Done, 1);
+            ledger
+                .book()
+                .remember(&format!("run-9{n}"), Stage::Done, 1, 7);
         }
         assert_eq!(ledger.find("run-1"), Known::Unclear);
         assert_eq!(ledger.book().over.len(), MOST_FINAL);
--- a/src/transport/front.rs
+++ b/src/transport/front.rs
@@ -10,10 +10,10 @@
 use axum::routing::{get, post};
 use bytes::Bytes;
 
+use crate::coordination::answering::{self, Verdict};
 use crate::coordination::node::Node;
 use crate::coordination::requests::{self, Ask, Reply};
-use crate::coordination::shard::{ReportOutcome, keeper_commands};
-use crate::protocol::workers::{Redirect, Report, ReportAnswer};
+use crate::protocol::workers::Report;
 
 /// Largest request body.
 const MAX_BODY: usize = 64 * 1024;
@@ -103,31 +103,10 @@
     else {
         return respond(Reply::malformed("not a report", None));
     };
-    let now = node.now();
-    node.lock().workers.insert(report.machine.clone(), now);
-    let answered = node.live_tenure().and_then(|tenure| {
-        let outcome =
-            node.with_shard(&tenure, "reports", |shard, now| shard.report(&report, now))?;
-        // The shard took a moment: only a tenure that still holds may answer.
-        (tenure.live(node.now())).then_some((tenure.term, outcome))
-    });
-    match answered {
-        Some((term, ReportOutcome::Answer(commands))) => {
-            json(StatusCode::OK, &ReportAnswer { term, commands })
-        }
-        Some((_, ReportOutcome::Refuse)) => respond(Reply::unavailable("this machine is gone")),
-        None => {
-            if let Some(term) = node.keeps(&report) {
-                // An owner past its deadline stays informed: it may go on.
-                if let Some(tenure) = node.tenure().filter(|tenure| tenure.term == term) {
-                    node.with_shard(&tenure, "reports", |shard, now| shard.report(&report, now));
-                }
-                let commands = keeper_commands(&report, |job| node.ledger.is_open(job));
-                return json(StatusCode::OK, &ReportAnswer { term, commands });
-            }
-            let owner = node.owner_label().filter(|label| label != node.label());
-            json(StatusCode::MISDIRECTED_REQUEST, &Redirect { owner })
-        }
+    match answering::answer_report(node, &report) {
+        Verdict::Renewed(answer) => json(StatusCode::OK, &answer),
+        Verdict::Refused => respond(Reply::unavailable("this machine is gone")),
+        Verdict::Elsewhere(redirect) => json(StatusCode::MISDIRECTED_REQUEST, &redirect),
     }
 }
 
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -6,17 +6,21 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 
 use crate::coordination::node::Node;
 use crate::coordination::peering;
 use crate::coordination::requests::{self, Ask};
 use crate::protocol::peers::{PeerAnswer, PeerRequest, decode_request, encode_answer};
+use crate::protocol::tidings::{CANCELLATIONS, CancellationsAsked};
 
 /// Routes of the internal address.
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
         .route("/peer", post(peer))
+        .route(CANCELLATIONS, post(cancellations))
         .route("/status", get(status))
         .with_state(node)
 }
@@ -26,6 +30,15 @@
     node.status()
 }
 
+async fn cancellations(State(node): State<Arc<Node>>, body: Bytes) -> Response {
+    match CancellationsAsked::decode(&body) {
+        Some(asked) => peering::cancellations_told(&node, &asked)
+            .encode()
+            .into_response(),
+        None => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
+
 async fn peer(State(node): State<Arc<Node>>, body: Bytes) -> Vec<u8> {
     let answer = match decode_request(&body) {
         Some(PeerRequest::Pulse(pulse)) => PeerAnswer::Pulse(peering::answer_pulse(&node, pulse)),
