Mute machines get no work; an owner that can't load yet keeps workers; meetings tested

A machine whose reports reach nobody answers commands all the same, so it went on getting work that its lease, unrenewed, then took. What renews a lease is now told apart from what is heard: without a report of its own for the suspect time it gets no work, and past its lease it goes back, unless many are in the same way.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -120,6 +120,8 @@
 #[derive(Default)]
 pub struct Inner {
     pub ownership: Option<Ownership>,
+    /// A term whose shard is not loaded yet.
+    pub loading: Option<Arc<Tenure>>,
     pub seen_owner: Option<OwnerRecord>,
     pub types: Option<Vec<MachineType>>,
     pub peers: HashMap<String, PeerView>,
@@ -354,10 +356,20 @@
     /// The term under which this node may keep a worker for the owner, if the
     /// worker would take it.
     pub fn keeps(&self, report: &Report) -> Option<u64> {
-        self.keeps_by_loan(report)
+        self.keeps_while_loading(report)
+            .or_else(|| self.keeps_by_loan(report))
             .or_else(|| self.keeps_alone(report))
     }
 
+    /// An owner that can't load the shard yet, since the state service fell out
+    /// for all just then, and that holds it by promises: workers know no other.
+    /// Their leases are counted from when it will have been loaded.
+    fn keeps_while_loading(&self, report: &Report) -> Option<u64> {
+        let inner = self.lock();
+        let tenure = inner.loading.as_ref()?;
+        (tenure.live(self.now()) && report.term <= tenure.term).then_some(tenure.term)
+    }
+
     /// The same without the state service and the owner, by the standing loan
     /// that the owner's last answer gave, or by this node's own last renewal.
     fn keeps_alone(&self, report: &Report) -> Option<u64> {
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -275,8 +275,10 @@
 /// Owns the shard until the tenure ends.
 async fn serve(node: &Arc<Node>, tenure: Arc<Tenure>) {
     let mut attempt = 0;
+    node.lock().loading = Some(tenure.clone());
     let (loaded, revision) = loop {
         if tenure.ended() {
+            node.lock().loading = None;
             return;
         }
         match load(node, &tenure).await {
@@ -297,6 +299,7 @@
     );
     {
         let mut inner = node.lock();
+        inner.loading = None;
         inner.ownership = Some(Ownership {
             tenure: tenure.clone(),
             shard,
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -162,7 +162,7 @@
     let asked: Vec<Peer> = {
         let inner = node.lock();
         let looked = inner.awareness.last_look();
-        if inner.ownership.is_none()
+        if (inner.ownership.is_none() && inner.loading.is_none())
             || looked.is_some_and(|at| now.saturating_duration_since(at) < LOOK_LATE)
         {
             return;
--- a/src/coordination/shard/drain.rs
+++ b/src/coordination/shard/drain.rs
@@ -213,7 +213,7 @@
                 continue;
             };
             let fill = 1.0 - room.cores / kind.cores.max(1e-9);
-            let settled = machine.open(now, self.policy.suspect)
+            let settled = machine.open(now, &self.policy)
                 && now.saturating_duration_since(machine.rented) >= LEAST_AGE;
             if settled && !machine.spot && !machine.tally.idle() && fill <= MOST_FILL {
                 worth.push((kind.price * (1.0 - fill), machine));
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -204,6 +204,10 @@
             .count();
         // When much is silent at once, the trouble is more likely ours.
         let many = silent > 1 && silent * 3 > expected.len();
+        // The same for those that answer, but whose own reports don't come.
+        let mute = |m: &Machine| m.heard.is_some() && m.mute_for(now) >= self.policy.suspect;
+        let much_mute = expected.iter().filter(|m| mute(m)).count();
+        let many_mute = much_mute > 1 && much_mute * 3 > expected.len();
         let soon = self.policy.report.mul_f64(1.4);
         // The last few that nobody can account for hold up all that waits; when
         // most are accounted for, the trouble is not ours.
@@ -232,6 +236,12 @@
                     && silence >= self.patience(m, many)
                 {
                     Some((m.id.clone(), "its worker's lease is over"))
+                } else if mute(m)
+                    && now > m.lease_over
+                    && !self.others_keep()
+                    && m.mute_for(now) >= self.patience(m, many_mute)
+                {
+                    Some((m.id.clone(), "its worker's reports don't come"))
                 } else {
                     None
                 }
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::Tally;
+use super::{Policy, Tally};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Ending;
@@ -192,6 +192,8 @@
     pub admission_asked: bool,
     /// Last message of its worker that reached us.
     pub heard: Option<Instant>,
+    /// When a report that came by itself last renewed its worker's lease.
+    pub renewed: Option<Instant>,
     /// Its worker's lease has surely ended after this.
     pub lease_over: Instant,
     /// When the cloud takes it away, as far as was said.
@@ -249,6 +251,7 @@
             admitted: false,
             admission_asked: false,
             heard: None,
+            renewed: None,
             lease_over,
             notice: None,
             attempts: BTreeMap::new(),
@@ -303,8 +306,14 @@
         }
     }
 
+    /// For how long its worker has not reported by itself. It may still answer
+    /// what it is asked, but only its reports renew its lease.
+    pub fn mute_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.renewed.unwrap_or(self.rented))
+    }
+
     /// Whether new tasks may be started on it.
-    pub fn open(&self, now: Instant, suspect: Duration) -> bool {
+    pub fn open(&self, now: Instant, policy: &Policy) -> bool {
         self.synced
             && self.admitted
             && self
@@ -316,7 +325,8 @@
             && !self.draining
             && self.notice.is_none()
             && !self.vanished
-            && self.silence(now) < suspect
+            && self.silence(now) < policy.suspect
+            && self.mute_for(now) < policy.suspect
             && self.tally.unknown == 0
     }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -405,7 +405,7 @@
                 m if m.deleting => "being returned",
                 m if m.draining => "being emptied",
                 m if m.heard.is_none() => "not heard yet",
-                m if m.open(now, self.policy.suspect) => "open",
+                m if m.open(now, &self.policy) => "open",
                 _ => "closed",
             };
             text.push_str(&format!(
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -219,7 +219,7 @@
         let reserved = self.reserved_for_moves();
         self.machines
             .values()
-            .filter(|m| m.open(now, self.policy.suspect))
+            .filter(|m| m.open(now, &self.policy))
             .filter_map(|m| {
                 let kind = self.types.get(&*m.machine_type)?;
                 Some(Slot {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -42,6 +42,7 @@
         let numbers = (report.session, report.seq);
         if numbers > machine.reported {
             machine.reported = numbers;
+            machine.renewed = Some(now);
             machine.lease_over = machine
                 .lease_over
                 .max(now + self.policy.lease_surely_over());
--- /dev/null
+++ b/src/coordination/shard/tests/meetings.rs
@@ -0,0 +1,298 @@
+//! Two troubles at once, in the order in which they hurt.
+
+use std::time::Duration;
+
+use super::script::{Script, TERM, listed, obey, one_old_job, roster, stops};
+use super::world::{record, spec};
+use crate::coordination::shard::{CommandOutcome, Loaded, ReportOutcome};
+use crate::protocol::users::{JobSpec, Stage};
+use crate::protocol::workers::{Command, Ending, TaskState};
+
+fn second(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// A team is at its limit, the owner changes, a machine can't be asked, and the
+/// job on it is cancelled: what may run there counts until it is proven gone, and
+/// not a moment longer, or the team would wait for ever.
+#[test]
+fn a_cancelled_job_on_a_machine_that_can_not_be_asked_counts_until_it_is_gone() {
+    // The team's limit is 16 cores; its job may hold eight of them on vm-1.
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), 5, record(spec("red", 8.0, 1)))],
+        roster: vec![roster("vm-1")],
+        ..Loaded::default()
+    });
+    for id in ["vm-2", "vm-3"] {
+        script.report(id, Vec::new());
+    }
+    script.shard.job_gone("run-1", Some(Stage::Cancelled));
+    script.submit("run-2", spec("red", 8.0, 2));
+    let launched = script.launches().len();
+    assert_eq!(launched, 1, "the other half may be in use on vm-1");
+    let lease = script.shard.policy.lease_surely_over();
+    let lease_over = script.machine("vm-1").lease_over;
+    let end = script.now + lease + second(3);
+    let mut second_start = None;
+    while script.now < end && second_start.is_none() {
+        for batch in script.batches() {
+            let outcome = match &*batch.0 {
+                "vm-1" => CommandOutcome::NoAnswer,
+                id => CommandOutcome::Executed(script.running(id)),
+            };
+            script.answered(&batch, outcome);
+        }
+        for id in ["vm-2", "vm-3"] {
+            let tasks = script.running(id).tasks;
+            script.report(id, tasks);
+        }
+        script.pass(second(1));
+        if script.shard.jobs()["run-2"].live().len() == 2 {
+            second_start = Some(script.now);
+        }
+    }
+    let at = second_start.expect("the team gets its limit back");
+    assert!(at > lease_over, "its worker's lease was not over");
+}
+
+/// Workers that can't open connections to any controller, while commands reach
+/// them: what they answer is news, but renews no lease. Found by reading: such a
+/// machine went on getting work, which it lost again and again.
+#[test]
+fn a_machine_whose_reports_do_not_come_gets_no_work_and_goes_back() {
+    let mut script = Script::new(Loaded::default());
+    for id in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        script.report(id, Vec::new());
+    }
+    let silence = script.shard.policy.suspect;
+    let lease = script.shard.policy.lease_surely_over();
+    let answers = |script: &mut Script| {
+        for id in ["vm-2", "vm-3", "vm-4"] {
+            script.report(id, Vec::new());
+        }
+        for batch in script.probes() {
+            let report = script.report_of(&batch.0, TERM, Vec::new());
+            script.answered(&batch, CommandOutcome::Executed(report));
+        }
+        script.pass(second(1));
+    };
+    let start = script.now;
+    while script.now - start <= silence {
+        answers(&mut script);
+    }
+    let policy = script.shard.policy.clone();
+    assert!(!script.machine("vm-1").open(script.now, &policy));
+    assert!(!script.machine("vm-1").deleting, "it may be heard again");
+    assert!(script.machine("vm-2").open(script.now, &policy));
+    // A report of its own, and it is as good as before.
+    script.report("vm-1", Vec::new());
+    assert!(script.machine("vm-1").open(script.now, &policy));
+    let start = script.now;
+    while script.now - start <= lease + second(1) {
+        answers(&mut script);
+    }
+    assert!(
+        script.machine("vm-1").deleting,
+        "its tasks die again and again"
+    );
+    assert!(!script.machine("vm-2").deleting);
+}
+
+/// The same with a task on it: it counts until the worker's lease is over, counted
+/// from the last report that was answered, whatever direct answers show since.
+#[test]
+fn an_answer_to_a_command_renews_no_lease() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    let lease_over = script.machine("vm-1").lease_over;
+    for _ in 0..10 {
+        script.pass(second(2));
+        for batch in script.probes() {
+            let report = script.report_of(&batch.0, TERM, Vec::new());
+            script.answered(&batch, CommandOutcome::Executed(report));
+        }
+    }
+    assert_eq!(script.machine("vm-1").lease_over, lease_over);
+    assert!(
+        script
+            .machine("vm-1")
+            .heard
+            .is_some_and(|at| script.now - at < second(8))
+    );
+}
+
+/// A command is held up for seconds and the machine goes on: a stop that may never
+/// arrive is repeated with each answer, since that answer renews the lease.
+#[test]
+fn a_stop_that_is_under_way_is_repeated_with_the_answer() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 1));
+    obey(&mut script, "vm-1");
+    script.shard.job_gone("run-1", Some(Stage::Cancelled));
+    script.settle();
+    let held_up = script.batches();
+    assert_eq!(held_up.len(), 1);
+    assert_eq!(stops(&held_up[0].2), 1);
+    let take = script
+        .machine("vm-1")
+        .attempts
+        .keys()
+        .next()
+        .map(|(_, take)| *take);
+    let line = listed("run-1/0", take.expect("it runs"), TaskState::Running, None);
+    let commands = script.report("vm-1", vec![line]);
+    assert_eq!(stops(&commands), 1);
+}
+
+/// A report is held back until a new leader has acted, and arrives there: it shows
+/// what was, even under the new term, and neither frees nor brings back a task.
+#[test]
+fn a_report_held_back_until_a_new_owner_has_acted_changes_nothing() {
+    let mut script = Script::new(one_old_job(1, &["vm-1"]));
+    let runs = |take| vec![listed("run-1/0", take, TaskState::Running, None)];
+    let before = script.report_of("vm-1", TERM - 1, Vec::new());
+    let mut session = script.report_of("vm-1", TERM - 1, runs(3));
+    session.session = 0;
+    let under_ours = script.report_of("vm-1", TERM, Vec::new());
+    script.report("vm-1", runs(7));
+    for held_back in [before, session, under_ours] {
+        script.shard.report(&held_back, script.now);
+        script.settle();
+        assert!(script.launches().is_empty(), "run-1/0 runs on vm-1");
+        assert_eq!(script.shard.view("run-1").map(|view| view.1), Some(1));
+    }
+}
+
+/// The tasks of a job end far apart, with a change of leader between: what the
+/// earlier one was told and recorded isn't run again, what it was told and didn't
+/// record is listed still.
+#[test]
+fn tasks_that_end_far_apart_are_each_counted_once_across_a_take_over() {
+    let mut script = Script::new(Loaded::default());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", spec("blue", 1.0, 3));
+    obey(&mut script, "vm-1");
+    let takes: Vec<u64> = script
+        .machine("vm-1")
+        .attempts
+        .keys()
+        .map(|(_, t)| *t)
+        .collect();
+    let line = |n: usize, ending: Option<Ending>| {
+        let state = ending.map_or(TaskState::Running, |_| TaskState::Ended);
+        listed(&format!("run-1/{n}"), takes[n], state, ending)
+    };
+    let done = Some(Ending::Done);
+    script.report("vm-1", vec![line(0, done), line(1, None), line(2, None)]);
+    // The snapshot holds the first; the second ends after it.
+    script.pass(second(4));
+    let chunks = script.written.clone();
+    assert!(!chunks.is_empty(), "a snapshot was written");
+    let commands = script.report("vm-1", vec![line(0, done), line(1, done), line(2, None)]);
+    let clears = |commands: &[Command], n: u32| {
+        let clear = |c: &Command| matches!(c, Command::Clear { task, .. } if task.index == n);
+        commands.iter().any(clear)
+    };
+    assert!(clears(&commands, 0) && !clears(&commands, 1));
+    let mut next = Script::new(Loaded {
+        jobs: vec![("run-1".into(), TERM + 2, record(spec("blue", 1.0, 3)))],
+        roster: vec![roster("vm-1")],
+        chunks,
+        ..Loaded::default()
+    });
+    next.seq = script.seq;
+    next.report("vm-1", vec![line(1, done), line(2, None)]);
+    assert!(next.launches().is_empty());
+    assert_eq!(next.shard.jobs()["run-1"].done().len(), 2);
+    next.report("vm-1", vec![line(1, done), line(2, done)]);
+    assert!(next.shard.jobs()["run-1"].all_done());
+}
+
+/// A job bound to one zone loses the machine that its zone was chosen for, while
+/// others of its tasks run: what is lost comes back in that zone and no other.
+#[test]
+fn what_a_one_zone_job_loses_starts_again_in_its_zone_alone() {
+    let mut script = Script::new(Loaded::default());
+    let bound = JobSpec {
+        one_zone: true,
+        ..spec("blue", 4.0, 3)
+    };
+    script.report("vm-1", Vec::new());
+    script.report("vm-2", Vec::new());
+    script.submit("run-1", bound);
+    obey(&mut script, "vm-1");
+    let on = |script: &Script, id: &str| script.machine(id).attempts.len();
+    let first = if on(&script, "vm-1") == 1 {
+        "vm-1"
+    } else {
+        "vm-2"
+    };
+    let other = if first == "vm-1" { "vm-2" } else { "vm-1" };
+    assert_eq!((on(&script, first), on(&script, other)), (1, 2));
+    // The machine with one task begins a new session; the south has room.
+    let south = |script: &mut Script, report: &crate::protocol::workers::Report| {
+        let mut report = report.clone();
+        script.seq += 1;
+        report.seq = script.seq;
+        let outcome = script.shard.report(&report, script.now);
+        assert!(matches!(outcome, ReportOutcome::Answer(_)));
+        script.settle();
+    };
+    let report = {
+        let mut report = script.report_of("vm-9", TERM, Vec::new());
+        report.zone = "south".into();
+        report
+    };
+    south(&mut script, &report);
+    let runs = script.running(other).tasks;
+    script.report(other, runs);
+    let mut anew = script.report_of(first, TERM, Vec::new());
+    anew.session = 2;
+    script.shard.report(&anew, script.now);
+    script.settle();
+    let launches = script.launches();
+    assert!(
+        launches.iter().all(|(id, ..)| &**id != "vm-9"),
+        "two of its tasks run in the north"
+    );
+    for batch in &launches {
+        let report = script.report_of(&batch.0, TERM, Vec::new());
+        script.answered(batch, CommandOutcome::Refused(report));
+    }
+    script.pass(second(1));
+    south(&mut script, &report);
+    assert_eq!(on(&script, "vm-9"), 0);
+}
+
+/// A leader ends while a machine with a long task can't be reached, and then hears
+/// the new one only by its reports: the task isn't started twice, and once the
+/// machine is known to be gone it isn't left waiting.
+#[test]
+fn a_long_task_behind_a_cut_is_neither_doubled_nor_forgotten() {
+    let mut script = Script::new(one_old_job(1, &["vm-1"]));
+    script.report("vm-2", Vec::new());
+    let lease = script.shard.policy.lease_surely_over();
+    // Its reports come, under the earlier leader's term; our answers don't arrive.
+    let begun = script.now;
+    let mut seq = script.seq;
+    while script.now - begun < lease / 2 {
+        for batch in script.batches() {
+            script.answered(&batch, CommandOutcome::NoAnswer);
+        }
+        let runs = vec![listed("run-1/0", 7, TaskState::Running, None)];
+        let report = script.report_of("vm-1", TERM - 1, runs);
+        script.shard.report(&report, script.now);
+        script.report("vm-2", Vec::new());
+        script.pass(second(2));
+        assert!(script.launches().is_empty(), "it runs on vm-1");
+        seq = script.seq;
+    }
+    // Its session ends, as its worker tells us under our term at last.
+    let mut anew = script.report_of("vm-1", TERM, Vec::new());
+    assert!(anew.seq > seq);
+    anew.session = 2;
+    script.shard.report(&anew, script.now);
+    script.pass(second(1));
+    assert_eq!(script.launches().len(), 1, "it is nowhere now");
+}
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -1,6 +1,8 @@
 //! The state machine on a fake clock, with scripted peers and in a random
 //! world.
 
+mod meetings;
 mod random;
+mod script;
 mod scripted;
 mod world;
--- /dev/null
+++ b/src/coordination/shard/tests/script.rs
@@ -0,0 +1,255 @@
+//! A shard whose surroundings do what a test says.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::world::{machine_types, policy, record, spec};
+use crate::coordination::shard::{
+    Action, CommandOutcome, Loaded, LoadedMachine, Machine, Policy, ReportOutcome, Shard,
+};
+use crate::protocol::state::Change;
+use crate::protocol::users::JobSpec;
+use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
+use crate::protocol::{MachineId, TaskId};
+use crate::storage::keys;
+use crate::storage::records::RosterRecord;
+
+pub(super) const TERM: u64 = 100;
+
+pub(super) struct Script {
+    pub(super) shard: Shard,
+    pub(super) now: Instant,
+    pub(super) seq: u64,
+    pub(super) actions: Vec<Action>,
+    /// The chunks of the snapshot.
+    pub(super) written: BTreeMap<String, serde_json::Value>,
+}
+
+pub(super) fn roster(id: &str) -> LoadedMachine {
+    LoadedMachine {
+        id: id.to_owned(),
+        page: 0,
+        record: RosterRecord {
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: "north".into(),
+            spot: false,
+            returning: false,
+        },
+    }
+}
+
+pub(super) fn listed(
+    task: &str,
+    take: u64,
+    state: TaskState,
+    ending: Option<Ending>,
+) -> TaskReport {
+    TaskReport {
+        task: TaskId::parse(task).expect("task id"),
+        attempt: take,
+        state,
+        ending,
+    }
+}
+
+impl Script {
+    /// Without other controllers.
+    pub(super) fn new(loaded: Loaded) -> Self {
+        Self::among(Duration::ZERO, loaded)
+    }
+
+    /// Among controllers that may answer workers on their own for so long.
+    pub(super) fn among(alone: Duration, loaded: Loaded) -> Self {
+        Self::under(Policy { alone, ..policy() }, loaded)
+    }
+
+    /// Where no team is guaranteed anything: what is not needed goes back.
+    pub(super) fn without_guarantees() -> Self {
+        let mut policy = Policy {
+            alone: Duration::ZERO,
+            ..policy()
+        };
+        for team in policy.teams.values_mut() {
+            *team = Default::default();
+        }
+        Self::under(policy, Loaded::default())
+    }
+
+    pub(super) fn under(policy: Policy, loaded: Loaded) -> Self {
+        let now = Instant::now();
+        let mut shard = Shard::take_over(policy, TERM, loaded, now, 0);
+        shard.set_types(&machine_types());
+        let mut script = Self {
+            shard,
+            now,
+            seq: 0,
+            actions: Vec::new(),
+            written: BTreeMap::new(),
+        };
+        script.settle();
+        script
+    }
+
+    /// Settles, and applies shard writes at once; other actions are kept.
+    pub(super) fn settle(&mut self) {
+        self.shard.settle(self.now);
+        loop {
+            let actions = self.shard.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                match action {
+                    Action::Write(write) => {
+                        for change in &write.changes {
+                            if let Change::Put { key, value, .. } = change
+                                && key.starts_with(&keys::snapshot_prefix())
+                            {
+                                self.written.insert(key.clone(), value.clone());
+                            }
+                        }
+                        self.shard.shard_written(&write, self.now);
+                    }
+                    other => self.actions.push(other),
+                }
+            }
+        }
+    }
+
+    pub(super) fn machine(&self, id: &str) -> &Machine {
+        self.shard.machines().get(id).expect("a known machine")
+    }
+
+    pub(super) fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.shard.tick(self.now);
+        self.settle();
+    }
+
+    pub(super) fn report_of(&mut self, id: &str, term: u64, tasks: Vec<TaskReport>) -> Report {
+        self.seq += 1;
+        Report {
+            machine: id.into(),
+            addr: "10.0.0.1:9000".into(),
+            machine_type: "m8".into(),
+            zone: "north".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            term,
+            notice_s: None,
+            tasks,
+        }
+    }
+
+    pub(super) fn report(&mut self, id: &str, tasks: Vec<TaskReport>) -> Vec<Command> {
+        let report = self.report_of(id, TERM, tasks);
+        let outcome = self.shard.report(&report, self.now);
+        self.settle();
+        match outcome {
+            ReportOutcome::Answer(commands) => commands,
+            ReportOutcome::Refuse => panic!("report refused"),
+        }
+    }
+
+    pub(super) fn submit(&mut self, id: &str, spec: JobSpec) {
+        self.shard
+            .job_put(id, TERM + 1 + self.seq, record(spec), self.now);
+        self.settle();
+    }
+
+    /// The batches of commands decided since the last call.
+    pub(super) fn batches(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = Vec::new();
+        self.actions.retain(|action| match action {
+            Action::Command {
+                machine,
+                number,
+                commands,
+                ..
+            } => {
+                batches.push((machine.clone(), *number, commands.clone()));
+                false
+            }
+            _ => true,
+        });
+        batches
+    }
+
+    /// The empty batches, which only ask for a report.
+    pub(super) fn probes(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = self.batches();
+        batches.retain(|(_, _, commands)| commands.is_empty());
+        batches
+    }
+
+    /// The batches that launch something, as (machine, number, commands).
+    pub(super) fn launches(&mut self) -> Vec<(MachineId, u64, Vec<Command>)> {
+        let mut batches = self.batches();
+        batches.retain(|(_, _, commands)| {
+            commands
+                .iter()
+                .any(|command| matches!(command, Command::Launch { .. }))
+        });
+        batches
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        batch: &(MachineId, u64, Vec<Command>),
+        outcome: CommandOutcome,
+    ) {
+        self.shard
+            .command_answered(&batch.0, batch.1, &batch.2, outcome, self.now);
+        self.settle();
+    }
+}
+
+pub(super) fn take_of(commands: &[Command]) -> u64 {
+    commands
+        .iter()
+        .find_map(|command| match command {
+            Command::Launch { attempt, .. } => Some(*attempt),
+            _ => None,
+        })
+        .expect("a launch")
+}
+
+/// An old job and a roster, as a new owner loads them.
+pub(super) fn one_old_job(tasks: u32, machines: &[&str]) -> Loaded {
+    Loaded {
+        jobs: vec![("run-1".into(), 5, record(spec("red", 1.0, tasks)))],
+        roster: machines.iter().map(|id| roster(id)).collect(),
+        ..Loaded::default()
+    }
+}
+
+impl Script {
+    /// A report of a machine on which all runs that is on its books.
+    pub(super) fn running(&mut self, id: &str) -> Report {
+        let tasks = self.machine(id).attempts.keys().cloned();
+        let running =
+            |(task, take): (TaskId, u64)| listed(&task.to_string(), take, TaskState::Running, None);
+        let tasks = tasks.map(running).collect();
+        self.report_of(id, TERM, tasks)
+    }
+}
+
+/// Runs all that is decided on a machine: it answers and reports as told.
+pub(super) fn obey(script: &mut Script, id: &str) -> Vec<Command> {
+    let mut told = Vec::new();
+    for batch in script.batches() {
+        if *batch.0 == *id {
+            told.extend(batch.2.iter().cloned());
+        }
+        let report = script.running(&batch.0);
+        script.answered(&batch, CommandOutcome::Executed(report));
+    }
+    told
+}
+
+pub(super) fn stops(commands: &[Command]) -> usize {
+    let stop = |command: &&Command| matches!(command, Command::Stop { .. });
+    commands.iter().filter(stop).count()
+}
