An owner that hears of a later term has lost the shard; none hands over while refused

Refused by the state service alone, an owner is replaced, and a second later the service is out for all. A term above its own in a pulse proves that its record is gone.

Handing over for nearness now waits until the service answers.

The test of a new session's lease had become unable to fail: time was too short for the former session's lease to end. It is longer now, and fails without the guard.

--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -6,7 +6,7 @@
 
 use hyper::Method;
 
-use super::lease::KEEPING;
+use super::lease::{KEEPING, Tenure};
 use super::node::{Keeping, Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
 use super::standing::{self, StandingLoan};
@@ -311,6 +311,16 @@
             .map(|row| (row.job, (row.done, row.running)))
             .collect();
     }
+    // A later term means that the record of ours is gone, though the service may
+    // not tell us: the later owner counts on our promise.
+    if let Some(term) = pulse.term {
+        let own = inner.ownership.as_ref().map(|own| &own.tenure);
+        let superseded = |tenure: &&Arc<Tenure>| tenure.term < term && !tenure.ended();
+        for tenure in own.into_iter().chain(&inner.loading).filter(superseded) {
+            tracing::warn!(term = tenure.term, later = term, "another owns the shard");
+            tenure.finish();
+        }
+    }
     if let Some(term) = pulse.term
         && inner.owner_heard.is_none_or(|(known, _)| term >= known)
     {
@@ -724,6 +734,11 @@
 /// Whether a peer in the zone of most machines could run the shard instead.
 fn nearer_peer(node: &Node) -> bool {
     let now = node.now();
+    // Who can't end its hold leaves the shard to nobody until it has run out, and
+    // through an outage that begins before.
+    if node.state_failing() {
+        return false;
+    }
     let inner = node.lock();
     let (Some(own), Some(main)) = (&inner.ownership, &inner.main_zone) else {
         return false;
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -260,7 +260,9 @@
     report.session = 2;
     script.answered(&probe, CommandOutcome::Executed(report));
     script.report("vm-3", Vec::new());
-    script.pass(Duration::from_secs(1));
+    let lease_over = script.machine("vm-2").lease_over;
+    script.pass(Duration::from_secs(3));
+    assert!(script.now > lease_over, "its former session's is");
     assert!(script.launches().is_empty(), "the task is still there");
     assert_eq!(script.shard.view("run-1").map(|v| v.1), Some(1));
 }
--- a/src/coordination/tests/peering.rs
+++ b/src/coordination/tests/peering.rs
@@ -7,12 +7,27 @@
 use super::{node, report};
 use crate::clock::FakeClock;
 use crate::coordination::lease::Tenure;
-use crate::coordination::node::{Ownership, STATE_DEADLINE};
+use crate::coordination::node::{Node, Ownership, STATE_DEADLINE};
 use crate::coordination::peering::{heard_pulse, own_pulse, promise, pulse_answered};
 use crate::coordination::shard::{Loaded, Shard};
 use crate::coordination::standing::{self, Lender};
 use crate::protocol::peers::Pulse;
 
+/// Has a controller own an empty shard.
+fn own(node: &Node, term: u64) -> Arc<Tenure> {
+    let now = node.now();
+    let tenure = Arc::new(Tenure::new(1, term, now, now + Duration::from_secs(3), now));
+    let shard = Shard::take_over(node.policy.clone(), term, Loaded::default(), now, 0);
+    node.lock().ownership = Some(Ownership {
+        tenure: tenure.clone(),
+        shard,
+        lender: Lender::default(),
+        endings: None,
+        activities: Default::default(),
+    });
+    tenure
+}
+
 #[tokio::test]
 async fn a_promise_needs_an_outage_and_is_kept() {
     let clock = Arc::new(FakeClock::new());
@@ -99,22 +114,43 @@
     assert_eq!(node.keeps(&report), None, "a job may have been cancelled");
 }
 
+/// Refused by the state service alone, an owner is replaced, and the service then
+/// falls out for all: the new owner needs the promise of the old, which was never
+/// told that its hold has ended. Its term in the new owner's pulse tells it.
+#[tokio::test]
+async fn an_owner_that_hears_of_a_later_one_gives_up_and_promises() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    let now = node.now();
+    let tenure = own(&node, 9);
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    clock.advance(Duration::from_secs(4));
+    let pulse = |term| Pulse {
+        label: "n1".into(),
+        term: Some(term),
+        ..Pulse::default()
+    };
+    heard_pulse(&node, pulse(8));
+    assert!(
+        !tenure.ended(),
+        "an older owner's late pulse proves nothing"
+    );
+    assert!(!promise(&node, Duration::from_secs(1)), "it may go on yet");
+    heard_pulse(&node, pulse(10));
+    assert!(tenure.ended());
+    tenure.renewed(now, now + Duration::from_secs(60));
+    assert!(!tenure.live(node.now()));
+    node.lock().ownership = None;
+    assert!(promise(&node, Duration::from_secs(1)));
+}
+
 /// An owner that a cut has taken from the state service and all others.
 #[tokio::test]
 async fn an_owner_past_its_deadline_keeps_its_workers_and_gives_no_commands() {
     let clock = Arc::new(FakeClock::new());
     let node = node(clock.clone());
-    let now = node.now();
-    node.lock().awareness.looked(now);
-    let tenure = Arc::new(Tenure::new(1, 9, now, now + Duration::from_secs(3), now));
-    let shard = Shard::take_over(node.policy.clone(), 9, Loaded::default(), now, 0);
-    node.lock().ownership = Some(Ownership {
-        tenure: tenure.clone(),
-        shard,
-        lender: Lender::default(),
-        endings: None,
-        activities: Default::default(),
-    });
+    node.lock().awareness.looked(node.now());
+    let tenure = own(&node, 9);
     let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
     clock.advance(Duration::from_secs(4));
     let report = report(9);
