Late transactions, odd requests, the end of a job and quick restarts are tested

Against a stand-in state service that holds transactions up: a late submission, a late cancellation, a late shard write, cancellations and questions at the end of a job, odd requests, a service that hangs; and three processes that end and return at once.

--- a/tests/trial.rs
+++ b/tests/trial/main.rs
@@ -1,6 +1,7 @@
 //! Three controllers on loopback against the stand-ins: they accept, run and
 //! finish a job, and survive a kill of the one that runs the machines.
 
+mod meetings;
 mod support;
 
 use std::net::{SocketAddr, TcpListener};
@@ -16,6 +17,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 struct Controller {
+    settings: Value,
     label: String,
     front: SocketAddr,
     internal: SocketAddr,
@@ -46,6 +48,7 @@
         .spawn()
         .expect("the program starts");
     Controller {
+        settings: settings.clone(),
         label: label.to_owned(),
         front,
         internal,
@@ -53,8 +56,9 @@
     }
 }
 
-async fn start_all() -> Vec<Controller> {
-    let labels = ["n0", "n1", "n2"];
+/// Three controllers whose labels begin so, which name their settings files.
+async fn start_all(name: &str) -> Vec<Controller> {
+    let labels = [0, 1, 2].map(|n| format!("{name}{n}"));
     let fronts: Vec<SocketAddr> = labels.iter().map(|_| free_addr()).collect();
     let internals: Vec<SocketAddr> = labels.iter().map(|_| free_addr()).collect();
     let state = support::serve(support::state::router()).await;
@@ -163,9 +167,46 @@
     panic!("no controller owns the shard");
 }
 
+/// Ends a controller's process and starts it again at once.
+fn restart(controllers: &mut Vec<Controller>, at: usize) {
+    let ended = controllers.remove(at);
+    let (settings, label) = (ended.settings.clone(), ended.label.clone());
+    let (front, internal) = (ended.front, ended.internal);
+    drop(ended);
+    controllers.insert(at, start(&settings, &label, front, internal));
+}
+
+/// Controllers hand over and back, end and return within a fraction of a second,
+/// at last all of them at once: jobs go on, and what was told stays true.
+#[tokio::test]
+async fn controllers_that_return_within_a_second_lose_nothing() {
+    let mut controllers = start_all("m").await;
+    let client = HttpClient::new();
+    for (n, to) in controllers.iter().enumerate() {
+        let submit = job(&format!("run-00000{n}"), "batch", 8);
+        insist(&client, to, Method::POST, "/v1/jobs", &submit, accepted).await;
+    }
+    for _ in 0..3 {
+        let owns = owner(&client, &controllers).await;
+        restart(&mut controllers, owns);
+        // In the middle of the election that follows, another one too.
+        restart(&mut controllers, (owns + 1) % 3);
+    }
+    for at in 0..3 {
+        restart(&mut controllers, at);
+    }
+    for n in 0..3 {
+        let path = format!("/v1/jobs/run-00000{n}");
+        for to in &controllers {
+            let done = in_stage("done");
+            insist(&client, to, Method::GET, &path, &Value::Null, done).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn three_controllers_finish_jobs_and_survive_a_kill() {
-    let mut controllers = start_all().await;
+    let mut controllers = start_all("n").await;
     let client = HttpClient::new();
     for controller in &controllers {
         let ready = |answer: &Answer, _: &Value| answer.status == 200;
--- a/tests/support/state.rs
+++ b/tests/trial/support/state.rs
@@ -63,10 +63,62 @@
     }
 }
 
+/// Transactions that get no answer and are carried out late.
+#[derive(Default)]
+struct Late {
+    /// The next one that writes this key is held up.
+    hold: Option<String>,
+    held: Vec<Txn>,
+}
+
+/// The stand-in.
 #[derive(Clone, Default)]
-struct Service {
+pub struct Service {
     store: Arc<Mutex<Store>>,
     changed: Arc<Notify>,
+    late: Arc<Mutex<Late>>,
+}
+
+impl Service {
+    /// The next transaction that writes this key gets no answer, and isn't
+    /// carried out before it is released.
+    pub fn hold_up(&self, key: &str) {
+        self.late.lock().expect("late").hold = Some(key.to_owned());
+    }
+
+    /// How many transactions are held up.
+    pub fn held(&self) -> usize {
+        self.late.lock().expect("late").held.len()
+    }
+
+    /// Carries out what was held up: for each whether it changed anything.
+    pub fn release(&self) -> Vec<bool> {
+        let held = std::mem::take(&mut self.late.lock().expect("late").held);
+        let carried_out = |txn| self.carry_out(txn).status() == StatusCode::OK;
+        held.into_iter().map(carried_out).collect()
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        let store = self.store.lock().expect("store");
+        store.keys.get(key).map(|(value, ..)| value.clone())
+    }
+
+    fn holds_up(&self, txn: &Txn) -> bool {
+        let mut late = self.late.lock().expect("late");
+        let writes = |key: &str| {
+            txn.changes.iter().any(|change| match change {
+                Change::Put { key: put, .. } => put == key,
+                Change::Delete { key: gone } => gone == key,
+            })
+        };
+        let held = late.hold.as_deref().is_some_and(writes);
+        if held {
+            late.hold = None;
+            late.held.push(txn.clone());
+        }
+        held
+    }
 }
 
 type Asked = Query<HashMap<String, String>>;
@@ -80,7 +132,11 @@
 
 /// The stand-in's routes.
 pub fn router() -> Router {
-    let service = Service::default();
+    routes(Service::default())
+}
+
+/// The routes of a stand-in whose answers a test holds up.
+pub fn routes(service: Service) -> Router {
     let ticking = service.clone();
     tokio::spawn(async move {
         loop {
@@ -130,46 +186,55 @@
 }
 
 async fn txn(State(service): State<Service>, Json(txn): Json<Txn>) -> Response {
-    let mut store = service.store.lock().expect("store");
-    store.expire();
-    for change in &txn.changes {
-        if let Change::Put { hold: Some(id), .. } = change
-            && !store.holds.contains_key(id)
-        {
-            let body = Json(json!({ "error": "no such lease" }));
-            return (StatusCode::BAD_REQUEST, body).into_response();
-        }
-    }
-    let failed: Vec<&String> = txn
-        .guards
-        .iter()
-        .filter(|guard| {
-            let version = store.keys.get(&guard.key).map_or(0, |entry| entry.1);
-            version != guard.version
-        })
-        .map(|guard| &guard.key)
-        .collect();
-    if !failed.is_empty() {
-        let body = Json(json!({ "failed": failed, "Edition": store.revision }));
-        return (StatusCode::CONFLICT, body).into_response();
+    if service.holds_up(&txn) {
+        std::future::pending::<()>().await;
     }
-    if !txn.changes.is_empty() {
-        store.revision += 1;
-    }
-    let revision = store.revision;
-    for change in txn.changes {
-        match change {
-            Change::Put { key, value, hold } => {
-                let event = json!({ "Write": key, "V": value, "Mark": revision });
-                store.log.push((key.clone(), revision, event));
-                store.keys.insert(key, (value, revision, hold));
+    service.carry_out(txn)
+}
+
+impl Service {
+    fn carry_out(&self, txn: Txn) -> Response {
+        let mut store = self.store.lock().expect("store");
+        store.expire();
+        for change in &txn.changes {
+            if let Change::Put { hold: Some(id), .. } = change
+                && !store.holds.contains_key(id)
+            {
+                let body = Json(json!({ "error": "no such lease" }));
+                return (StatusCode::BAD_REQUEST, body).into_response();
+            }
+        }
+        let failed: Vec<&String> = txn
+            .guards
+            .iter()
+            .filter(|guard| {
+                let version = store.keys.get(&guard.key).map_or(0, |entry| entry.1);
+                version != guard.version
+            })
+            .map(|guard| &guard.key)
+            .collect();
+        if !failed.is_empty() {
+            let body = Json(json!({ "failed": failed, "Edition": store.revision }));
+            return (StatusCode::CONFLICT, body).into_response();
+        }
+        if !txn.changes.is_empty() {
+            store.revision += 1;
+        }
+        let revision = store.revision;
+        for change in txn.changes {
+            match change {
+                Change::Put { key, value, hold } => {
+                    let event = json!({ "Write": key, "V": value, "Mark": revision });
+                    store.log.push((key.clone(), revision, event));
+                    store.keys.insert(key, (value, revision, hold));
+                }
+                Change::Delete { key } => store.drop_key(&key),
             }
-            Change::Delete { key } => store.drop_key(&key),
         }
+        drop(store);
+        self.changed.notify_waiters();
+        Json(json!({ "Edition": revision })).into_response()
     }
-    drop(store);
-    service.changed.notify_waiters();
-    Json(json!({ "Edition": revision })).into_response()
 }
 
 async fn hold(State(service): State<Service>, Json(request): Json<HoldRequest>) -> Json<Value> {
