An owner past its deadline goes on once all others stand aside

Now the others are asked whether they have taken the shard since: if none has, nor seeks it for a second, and each run has lasted since before the owner's last good renewal, nobody can have, and the owner goes on in its term.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -133,6 +133,8 @@
     pub main_zone: Option<String>,
     /// An attempt to acquire the shard is under way, or its outcome unknown.
     pub acquiring: bool,
+    /// The latest term that this run has acquired.
+    pub latest_term: u64,
     /// The last owner was an earlier run of this process, which is dead.
     pub previous_run_ended: bool,
     /// Until when this node has promised to leave the shard to its owner.
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -195,6 +195,7 @@
     let until = lease::deadline(operator, sent);
     let tenure = Arc::new(Tenure::new(hold, term, sent, until, node.now()));
     info!(term, hold, "shard acquired");
+    node.lock().latest_term = term;
     tokio::spawn(renew(node.clone(), tenure.clone()));
     (Some(tenure), true)
 }
@@ -262,11 +263,17 @@
 }
 
 /// Without the state service, an owner goes on as long as every other
-/// controller promises not to seek the shard.
+/// controller promises not to seek the shard. Past its deadline, it may begin to
+/// again if nobody can have taken the shard since its last good renewal.
 async fn extend_by_promises(node: &Arc<Node>, tenure: &Tenure) {
     let time = peering::LONGEST_PROMISE;
     let sent = node.now();
-    if tenure.live(sent) && peering::all_promise(node, time).await {
+    let promised = if tenure.live(sent) {
+        peering::all_promise(node, time).await
+    } else {
+        peering::all_stand_aside(node, tenure, time).await
+    };
+    if promised {
         let margin = Duration::from_secs_f64(node.settings.operator.lease_margin_s).min(time / 4);
         tenure.extended(sent + time.mul_f64(0.998) - margin);
     }
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -15,7 +15,8 @@
 };
 use crate::protocol::state::{Change, Txn};
 use crate::protocol::tidings::{
-    CANCELLATIONS, CancellationsAsked, CancellationsTold, CancelledJob,
+    CANCELLATIONS, CancellationsAsked, CancellationsTold, CancelledJob, STAND_ASIDE, StandAside,
+    StoodAside,
 };
 use crate::protocol::workers::Report;
 use crate::settings::platform::Peer;
@@ -119,6 +120,69 @@
     all
 }
 
+/// Answers an owner past its deadline: the same promise, given only by a run that
+/// has taken no later term.
+pub fn stand_aside(node: &Node, asked: &StandAside) -> StoodAside {
+    let later = node.lock().latest_term > asked.term;
+    StoodAside {
+        given: !later && promise(node, Duration::from_millis(asked.millis)),
+        up_ms: node
+            .now()
+            .saturating_duration_since(node.started)
+            .as_millis() as u64,
+    }
+}
+
+/// Whether an answer that has just come proves that its giver left the shard alone
+/// since an owner's last good renewal was sent: an earlier run may have taken it.
+pub fn left_alone(answer: &StoodAside, now: Instant, renewed: Instant) -> bool {
+    answer.given && began(answer.up_ms, now) < renewed
+}
+
+/// Asks all other controllers to stand aside; true if every one does, and none can
+/// have taken the shard since.
+pub async fn all_stand_aside(node: &Arc<Node>, tenure: &Tenure, time: Duration) -> bool {
+    if !node.state_failing() || tenure.ended() {
+        return false;
+    }
+    let renewed = tenure.last_renewed();
+    let frame = StandAside {
+        term: tenure.term,
+        millis: time.as_millis() as u64,
+    };
+    let mut asked = tokio::task::JoinSet::new();
+    for peer in &node.settings.platform.others {
+        let (node, peer, frame) = (node.clone(), peer.clone(), frame.encode());
+        asked.spawn(async move {
+            let answer = node
+                .peers_http
+                .call(
+                    Method::POST,
+                    peer.address,
+                    STAND_ASIDE,
+                    frame,
+                    PULSE_DEADLINE,
+                )
+                .await
+                .ok()?;
+            StoodAside::decode(&answer.body)
+        });
+    }
+    let mut all = true;
+    while let Some(answer) = asked.join_next().await {
+        let answer = answer.ok().flatten();
+        all &= answer.is_some_and(|answer| left_alone(&answer, node.now(), renewed));
+    }
+    all
+}
+
+/// The latest moment at which a run can have begun that says it has lasted so long:
+/// its clock may run slow against ours.
+fn began(up_ms: u64, now: Instant) -> Instant {
+    let up = Duration::from_millis(up_ms).mul_f64(1.0 - DRIFT);
+    now.checked_sub(up).unwrap_or(now)
+}
+
 /// What this node has told users of cancellations since a revision.
 pub fn cancellations_told(node: &Node, asked: &CancellationsAsked) -> CancellationsTold {
     let jobs = node.ledger.cancelled_after(asked.after);
@@ -140,9 +204,7 @@
     let cancelled = jobs.into_iter().map(|told| (told.job, told.revision));
     node.ledger.note_cancelled(cancelled.collect());
     node.tell_endings();
-    // Its clock may run slow against ours.
-    let up = Duration::from_millis(told.up_ms).mul_f64(1.0 - DRIFT);
-    let began = node.now().checked_sub(up).unwrap_or(node.now());
+    let began = began(told.up_ms, node.now());
     let counts = node.lock().awareness.word(label, sent, began);
     if !counts {
         tracing::debug!(
--- a/src/coordination/tests/peering.rs
+++ b/src/coordination/tests/peering.rs
@@ -8,10 +8,13 @@
 use crate::clock::FakeClock;
 use crate::coordination::lease::Tenure;
 use crate::coordination::node::{Node, Ownership, STATE_DEADLINE};
-use crate::coordination::peering::{heard_pulse, own_pulse, promise, pulse_answered};
+use crate::coordination::peering::{
+    heard_pulse, left_alone, own_pulse, promise, pulse_answered, stand_aside,
+};
 use crate::coordination::shard::{Loaded, Shard};
 use crate::coordination::standing::{self, Lender};
 use crate::protocol::peers::Pulse;
+use crate::protocol::tidings::{StandAside, StoodAside};
 
 /// Has a controller own an empty shard.
 fn own(node: &Node, term: u64) -> Arc<Tenure> {
@@ -144,6 +147,37 @@
     assert!(promise(&node, Duration::from_secs(1)));
 }
 
+/// Refused by the state service alone, an owner passes its deadline just before the
+/// service falls out for all. It may go on if all others stand aside, and none of
+/// them, nor an earlier run of theirs, can have taken the shard in between.
+#[tokio::test]
+async fn who_has_taken_the_shard_since_does_not_stand_aside() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    clock.advance(Duration::from_secs(2));
+    let renewed = node.now();
+    clock.advance(Duration::from_secs(4));
+    let asked = |term| {
+        let frame = StandAside { term, millis: 1000 }.encode();
+        let asked = StandAside::decode(&frame).expect("a frame");
+        let answer = stand_aside(&node, &asked).encode();
+        StoodAside::decode(&answer).expect("a frame")
+    };
+    assert!(!asked(9).given, "it is served, and seeks the shard itself");
+    let _ = node.state.get("o/0/owner", STATE_DEADLINE).await;
+    let answer = asked(9);
+    assert!(left_alone(&answer, node.now(), renewed));
+    assert!(node.may_not_seek().is_some());
+    // Its run began after that renewal: an earlier one may have been the owner.
+    let before = renewed - Duration::from_secs(3);
+    assert!(!left_alone(&answer, node.now(), before));
+    node.lock().latest_term = 10;
+    assert!(!asked(9).given, "it has owned the shard since");
+    assert!(asked(10).given);
+    node.lock().acquiring = true;
+    assert!(!asked(10).given);
+}
+
 /// An owner that a cut has taken from the state service and all others.
 #[tokio::test]
 async fn an_owner_past_its_deadline_keeps_its_workers_and_gives_no_commands() {
--- a/src/protocol/tidings.rs
+++ b/src/protocol/tidings.rs
@@ -33,6 +33,27 @@
     pub revision: u64,
 }
 
+/// The path at which controllers stand aside for an owner past its deadline.
+pub const STAND_ASIDE: &str = "/peer/stand-aside/1";
+
+/// The sender's hold of this term may have run out before the state service fell
+/// out for all: will you leave the shard alone for this long, and has nobody
+/// taken it since?
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct StandAside {
+    pub term: u64,
+    pub millis: u64,
+}
+
+/// The answer to [`StandAside`].
+#[derive(Debug, Clone, PartialEq, Archive, Serialize, Deserialize)]
+pub struct StoodAside {
+    /// This run has acquired no later term, and seeks none for so long.
+    pub given: bool,
+    /// How long this run has lasted.
+    pub up_ms: u64,
+}
+
 /// Copies a frame to where it may be read: archives are aligned.
 fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
@@ -40,22 +61,25 @@
     aligned
 }
 
-impl CancellationsAsked {
-    pub fn encode(&self) -> Vec<u8> {
-        rkyv::to_bytes::<rkyv::rancor::Error>(self).map_or_else(|_| Vec::new(), |b| b.to_vec())
-    }
+/// Gives a frame its two directions.
+macro_rules! frame {
+    ($($name:ident),*) => {$(
+        impl $name {
+            pub fn encode(&self) -> Vec<u8> {
+                rkyv::to_bytes::<rkyv::rancor::Error>(self)
+                    .map_or_else(|_| Vec::new(), |bytes| bytes.to_vec())
+            }
 
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned(bytes)).ok()
-    }
+            pub fn decode(bytes: &[u8]) -> Option<Self> {
+                rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned(bytes)).ok()
+            }
+        }
+    )*};
 }
 
-impl CancellationsTold {
-    pub fn encode(&self) -> Vec<u8> {
-        rkyv::to_bytes::<rkyv::rancor::Error>(self).map_or_else(|_| Vec::new(), |b| b.to_vec())
-    }
-
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        rkyv::from_bytes::<Self, rkyv::rancor::Error>(&aligned(bytes)).ok()
-    }
-}
+frame!(
+    CancellationsAsked,
+    CancellationsTold,
+    StandAside,
+    StoodAside
+);
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -14,13 +14,14 @@
 use crate::coordination::peering;
 use crate::coordination::requests::{self, Ask};
 use crate::protocol::peers::{PeerAnswer, PeerRequest, decode_request, encode_answer};
-use crate::protocol::tidings::{CANCELLATIONS, CancellationsAsked};
+use crate::protocol::tidings::{CANCELLATIONS, CancellationsAsked, STAND_ASIDE, StandAside};
 
 /// Routes of the internal address.
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
         .route("/peer", post(peer))
         .route(CANCELLATIONS, post(cancellations))
+        .route(STAND_ASIDE, post(stand_aside))
         .route("/status", get(status))
         .with_state(node)
 }
@@ -39,6 +40,13 @@
     }
 }
 
+async fn stand_aside(State(node): State<Arc<Node>>, body: Bytes) -> Response {
+    match StandAside::decode(&body) {
+        Some(asked) => peering::stand_aside(&node, &asked).encode().into_response(),
+        None => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
+
 async fn peer(State(node): State<Arc<Node>>, body: Bytes) -> Vec<u8> {
     let answer = match decode_request(&body) {
         Some(PeerRequest::Pulse(pulse)) => PeerAnswer::Pulse(peering::answer_pulse(&node, pulse)),
