Limits to come are planned for from the start; what is too large is planned anew

state.next is checked like state, and values, transactions and rates are planned by the lesser of both. A 400 is never sent again as it was: fewer changes or smaller values follow.

--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -43,11 +43,12 @@
             });
         }
         Action::Write(write) => {
-            if write_shard(&node, &tenure, &write).await {
-                node.with_shard(&tenure, "written", |shard, now| {
-                    shard.shard_written(&write, now)
-                });
-            }
+            let written = write_shard(&node, &tenure, &write).await;
+            node.with_shard(&tenure, "written", |shard, now| match written {
+                Written::Applied => shard.shard_written(&write, now),
+                Written::TooLarge => shard.write_refused(&write, now),
+                Written::Ended => {}
+            });
         }
         Action::Finish { job, mark } => finish(&node, &tenure, &job, mark).await,
         Action::ReadFinal { job } => read_final(&node, &tenure, &job).await,
@@ -116,9 +117,19 @@
     }
 }
 
+/// What became of a shard write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Written {
+    Applied,
+    /// The state service won't take it as it is, now or later.
+    TooLarge,
+    /// The tenure ended before it was known to be applied.
+    Ended,
+}
+
 /// Applies one shard write, fenced by the term and ordered by the sequence
-/// number. False if the tenure ended before it was known to be applied.
-async fn write_shard(node: &Node, tenure: &Tenure, write: &ShardWrite) -> bool {
+/// number.
+async fn write_shard(node: &Node, tenure: &Tenure, write: &ShardWrite) -> Written {
     let mut sequence = tenure.sequence.lock().await;
     let n = sequence.n + 1;
     let record = SequenceRecord {
@@ -127,7 +138,7 @@
         n,
     };
     let Ok(value) = serde_json::to_value(&record) else {
-        return false;
+        return Written::Ended;
     };
     let mut attempt = 0;
     while !tenure.ended() {
@@ -140,7 +151,7 @@
             Ok(TxnOutcome::Committed { revision }) => {
                 sequence.version = revision;
                 sequence.n = n;
-                return true;
+                return Written::Applied;
             }
             Ok(TxnOutcome::Conflict) | Err(StateError::NoAnswer) => {
                 // Either an earlier try was applied after all, or the shard is
@@ -149,22 +160,26 @@
                     Ok(Some((version, at))) if at == record => {
                         sequence.version = version;
                         sequence.n = n;
-                        return true;
+                        return Written::Applied;
                     }
                     Ok(found) => {
                         let version = found.map_or(0, |(version, _)| version);
                         if version != sequence.version {
                             warn!(term = tenure.term, "the shard was written by another owner");
                             tenure.finish();
-                            return false;
+                            return Written::Ended;
                         }
                         if !still_ours(node, tenure).await {
-                            return false;
+                            return Written::Ended;
                         }
                     }
                     Err(_) => {}
                 }
             }
+            Err(StateError::TooLarge(why)) => {
+                error!(why, "a shard write is refused");
+                return Written::TooLarge;
+            }
             Err(StateError::Unexpected(why)) => {
                 error!(why, "a shard write is refused");
             }
@@ -173,7 +188,7 @@
         attempt += 1;
         tokio::time::sleep(backoff(attempt)).await;
     }
-    false
+    Written::Ended
 }
 
 async fn read_sequence(node: &Node) -> Result<Option<(u64, SequenceRecord)>, StateError> {
@@ -224,7 +239,14 @@
             error!(job, "the record of a finished job can't be read");
             return;
         };
-        let last = FinalRecord::new(Stage::Done, record.spec);
+        let most = node
+            .settings
+            .platform
+            .settings
+            .state
+            .planned()
+            .value_bytes();
+        let last = FinalRecord::new(Stage::Done, record.spec).within(most);
         let Ok(txn) = facts::end_job(job, mark, &last) else {
             return;
         };
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -74,7 +74,7 @@
 /// their share of the state service's requests.
 fn look_pace(settings: &Settings) -> Duration {
     let controllers = settings.platform.others.len() as f64 + 1.0;
-    let rate = settings.platform.settings.state.rps * LOOK_SHARE / controllers;
+    let rate = settings.platform.settings.state.planned().rps * LOOK_SHARE / controllers;
     Duration::from_secs_f64((1.0 / rate).min(1.0)).max(LOOK_PAUSE)
 }
 
@@ -195,7 +195,7 @@
         let state = StateClient::new(settings.platform.services.state, clock.clone());
         let started = clock.now();
         let ledger = Ledger::new(look_pace(&settings));
-        let rate = settings.platform.settings.state.write_rps * USER_WRITE_SHARE;
+        let rate = settings.platform.settings.state.planned().write_rps * USER_WRITE_SHARE;
         let user_writes = Turns::new(rate, LONGEST_TURN);
         Arc::new(Self {
             policy: Policy::new(&settings),
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -123,6 +123,7 @@
     /// The policy that the settings ask for.
     pub fn new(settings: &Settings) -> Self {
         let given = &settings.platform.settings;
+        let state = given.state.planned();
         let operator = &settings.operator;
         Self {
             label: settings.platform.label.clone(),
@@ -145,12 +146,12 @@
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
             alone: standing::longest(settings),
-            txn_ops: given.state.txn_ops,
-            value_bytes: (given.state.value_kb * 1024.0) as usize,
+            txn_ops: state.txn_ops,
+            value_bytes: state.value_bytes(),
             snapshot: operator.snapshot(),
             staleness: operator.staleness(),
-            snapshot_writes_per_s: given.state.write_rps * operator.snapshot_write_share,
-            fact_writes_per_s: given.state.write_rps * FACT_WRITE_SHARE,
+            snapshot_writes_per_s: state.write_rps * operator.snapshot_write_share,
+            fact_writes_per_s: state.write_rps * FACT_WRITE_SHARE,
             suspect: given.workers.latest_report() + operator.suspect_late(),
             abandon: given.workers.latest_report() + operator.abandon_late(),
             headroom: operator.headroom,
--- /dev/null
+++ b/src/coordination/shard/tests/limits.rs
@@ -0,0 +1,180 @@
+//! The state service's limits are lowered without notice.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::script::{Script, TERM, listed, obey, roster};
+use super::world::{policy, record, spec};
+use crate::coordination::shard::{Action, Loaded, LoadedMachine, Policy, ShardWrite};
+use crate::protocol::state::Change;
+use crate::protocol::workers::{Ending, TaskState};
+
+/// The limits before, and after.
+const BEFORE: usize = 16_384;
+const AFTER: usize = 2_048;
+
+/// A store that refuses what is larger than its limits.
+struct Store {
+    value_bytes: usize,
+    changes: usize,
+    keys: BTreeMap<String, Value>,
+    refused: usize,
+}
+
+impl Store {
+    fn take(&mut self, write: &ShardWrite) -> bool {
+        let too_large = |change: &Change| match change {
+            Change::Put { value, .. } => value.to_string().len() > self.value_bytes,
+            Change::Delete { .. } => false,
+        };
+        // The sequence number is a change as well.
+        if write.changes.len() + 1 > self.changes || write.changes.iter().any(too_large) {
+            self.refused += 1;
+            return false;
+        }
+        for change in &write.changes {
+            match change {
+                Change::Put { key, value, .. } => self.keys.insert(key.clone(), value.clone()),
+                Change::Delete { key } => self.keys.remove(key),
+            };
+        }
+        true
+    }
+}
+
+/// Lets the shard write until it has nothing more to write.
+fn write_all(script: &mut Script, store: &mut Store) {
+    script.shard.settle(script.now);
+    for _ in 0..1_000 {
+        let writes: Vec<ShardWrite> = script
+            .shard
+            .take_actions()
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Write(write) => Some(write),
+                other => {
+                    script.actions.push(other);
+                    None
+                }
+            })
+            .collect();
+        if writes.is_empty() {
+            return;
+        }
+        for write in writes {
+            if store.take(&write) {
+                script.shard.shard_written(&write, script.now);
+            } else {
+                script.shard.write_refused(&write, script.now);
+            }
+        }
+    }
+    panic!("it never comes to an end");
+}
+
+fn many(value_bytes: usize, txn_ops: usize) -> Script {
+    let policy = Policy {
+        value_bytes,
+        txn_ops,
+        alone: Duration::ZERO,
+        snapshot_writes_per_s: 1e4,
+        fact_writes_per_s: 1e4,
+        ..policy()
+    };
+    let roster: Vec<LoadedMachine> = (0..150).map(|n| roster(&format!("vm-{n:06}"))).collect();
+    let jobs = (0..40).map(|n| {
+        let id = format!("run-{n:06}");
+        (id, 5, record(spec("blue", 0.1, 40)))
+    });
+    let loaded = Loaded {
+        jobs: jobs.collect(),
+        roster,
+        ..Loaded::default()
+    };
+    Script::under(policy, loaded)
+}
+
+/// Fills machines with tasks, some of which are done, so that the snapshot is large.
+fn busy(script: &mut Script) {
+    for n in 0..40 {
+        let id = format!("vm-{n:06}");
+        let tasks = (0..40)
+            .map(|index| {
+                let task = format!("run-{n:06}/{index}");
+                let done = (index % 3 == 0).then_some(Ending::Done);
+                let state = done.map_or(TaskState::Running, |_| TaskState::Ended);
+                listed(&task, 7, state, done)
+            })
+            .collect();
+        let report = script.report_of(&id, TERM, tasks);
+        script.shard.report(&report, script.now);
+    }
+}
+
+/// With the limits to come known, nothing is ever refused, though the roster that
+/// was loaded stands in a page eight times too large; each write is within both.
+#[test]
+fn what_was_written_under_larger_limits_is_written_again_within_the_lower() {
+    let mut script = many(AFTER, 4);
+    let mut store = Store {
+        value_bytes: AFTER,
+        changes: 4,
+        keys: BTreeMap::new(),
+        refused: 0,
+    };
+    busy(&mut script);
+    let gone = "vm-000140".into();
+    script
+        .shard
+        .deletion_answered(std::slice::from_ref(&gone), true, script.now);
+    write_all(&mut script, &mut store);
+    script.now += Duration::from_secs(5);
+    script.shard.tick(script.now);
+    write_all(&mut script, &mut store);
+    assert_eq!(store.refused, 0);
+    let pages = |prefix: &str| {
+        store
+            .keys
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
+    };
+    assert!(pages("m/") > 5, "{} pages", pages("m/"));
+    assert!(pages("s/") > 8, "{} chunks", pages("s/"));
+}
+
+/// Lowered in mid-write, and lower than anybody said: the write is never sent as it
+/// was, smaller ones follow, and in the end all stands in the store.
+#[test]
+fn a_write_that_has_become_too_large_is_planned_anew() {
+    let mut script = many(BEFORE, 16);
+    let mut store = Store {
+        value_bytes: AFTER,
+        changes: 4,
+        keys: BTreeMap::new(),
+        refused: 0,
+    };
+    busy(&mut script);
+    script.submit("run-900000", spec("blue", 1.0, 1));
+    script.settle();
+    obey(&mut script, "vm-000050");
+    let gone = "vm-000140".into();
+    script
+        .shard
+        .deletion_answered(std::slice::from_ref(&gone), true, script.now);
+    for _ in 0..20 {
+        script.now += Duration::from_secs(4);
+        script.shard.tick(script.now);
+        write_all(&mut script, &mut store);
+    }
+    assert!(store.refused > 0 && store.refused < 12, "{}", store.refused);
+    let entries: usize = store
+        .keys
+        .iter()
+        .filter(|(key, _)| key.starts_with("m/"))
+        .map(|(_, page)| page["machines"].as_object().map_or(0, |m| m.len()))
+        .sum();
+    assert_eq!(entries, 149, "all machines but the one that is gone");
+}
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -181,7 +181,7 @@
         // A roster in few pages is written whole, so that what follows from
         // its changes can follow at once.
         while facts_allowed && self.writes.roster.has_changes() && write.changes.len() < room {
-            let Some(change) = self.writes.roster.next_change() else {
+            let Some(change) = self.writes.roster.next_change(self.policy.value_bytes) else {
                 continue;
             };
             bytes += change_size(&change);
@@ -272,7 +272,14 @@
             })
             .collect();
         let chunks = snapshot::encode(rows.into_iter(), self.policy.value_bytes);
-        for (key, value) in &chunks {
+        // What a part no longer holds is written elsewhere first: in a later part
+        // where there are more of them than before, since jobs came or the limits
+        // were lowered, else in an earlier one.
+        let mut parts: Vec<_> = chunks.iter().collect();
+        if chunks.len() > self.writes.written.len() {
+            parts.reverse();
+        }
+        for (key, value) in parts {
             if self.writes.written.get(key) != Some(value) {
                 self.writes.chunks.push_back((
                     Fact::Chunk(key.clone(), Some(value.clone())),
@@ -318,6 +325,56 @@
         }
     }
 
+    /// The state service calls the transaction under way too large: its limits are
+    /// lower than was said. It is never sent as it was: fewer changes a transaction
+    /// are planned from now on, or smaller values.
+    pub fn write_refused(&mut self, write: &ShardWrite, now: Instant) {
+        self.writes.in_flight = false;
+        let changes = write.changes.len();
+        if changes > 1 {
+            self.policy.txn_ops = (changes / 2 + 1).max(2);
+        } else {
+            self.policy.value_bytes = (self.policy.value_bytes / 2).max(LEAST_VALUE);
+        }
+        tracing::error!(
+            term = self.term,
+            changes,
+            txn_ops = self.policy.txn_ops,
+            value_bytes = self.policy.value_bytes,
+            "a write is too large for the state service; smaller ones are planned"
+        );
+        let writes = &mut self.writes;
+        let mut changes = Vec::new();
+        for change in &write.changes {
+            let (Change::Put { key, .. } | Change::Delete { key }) = change;
+            if !writes.roster.not_written(key) {
+                changes.push(change.clone());
+            }
+        }
+        // Facts about the roster's entries follow them; all others have a change.
+        let mut changes = changes.into_iter();
+        for fact in &write.facts {
+            match fact {
+                Fact::Admit(_) | Fact::Return(_) => writes.entered.push(fact.clone()),
+                // Snapshots are laid out again.
+                Fact::Chunk(..) => drop(changes.next()),
+                _ => {
+                    if let Some(change) = changes.next() {
+                        writes.facts.push_front((fact.clone(), change));
+                    }
+                }
+            }
+        }
+        if writes.cycle {
+            writes.cycle = false;
+            writes.chunks.clear();
+            writes.covered.clear();
+            writes.last_cycle = None;
+            writes.dirty_since = writes.dirty_since.or(writes.dirty_next.take());
+        }
+        self.pump_writes(now);
+    }
+
     /// The transaction under way was applied.
     pub fn shard_written(&mut self, write: &ShardWrite, now: Instant) {
         self.writes.in_flight = false;
@@ -347,6 +404,8 @@
     }
 }
 
+/// Values smaller than this are not planned for.
+const LEAST_VALUE: usize = 512;
 /// Room for changes in one transaction, whose limit is 64 KiB in all.
 const MAX_TXN_BYTES: usize = 48 * 1024;
 
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -84,6 +84,43 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// The limits that it will have from some moment on, without notice.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what isn't named stays as it is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct NextLimits {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rps: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub write_rps: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value_kb: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// What is planned by: the lesser of the limits now and those to come, since
+    /// the change comes without notice.
+    pub fn planned(&self) -> Self {
+        let next = self.next.clone().unwrap_or_default();
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |next| next.min(now));
+        Self {
+            rps: least(self.rps, next.rps),
+            write_rps: least(self.write_rps, next.write_rps),
+            value_kb: least(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: None,
+        }
+    }
+
+    /// The most that a value may take.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 /// The cloud's limits.
@@ -157,6 +194,7 @@
         if s.teams.is_empty() {
             return fail("settings.teams", "must not be empty");
         }
+        let next = s.state.next.clone().unwrap_or_default();
         for (field, value) in [
             ("settings.workers.report_s", s.workers.report_s),
             ("settings.workers.lease_s", s.workers.lease_s),
@@ -165,6 +203,12 @@
             ("settings.state.write_rps", s.state.write_rps),
             ("settings.state.value_kb", s.state.value_kb),
             ("settings.cloud.rps", s.cloud.rps),
+            ("settings.state.next.rps", next.rps.unwrap_or(1.0)),
+            (
+                "settings.state.next.write_rps",
+                next.write_rps.unwrap_or(1.0),
+            ),
+            ("settings.state.next.value_kb", next.value_kb.unwrap_or(1.0)),
         ] {
             if !(value.is_finite() && value > 0.0 && value < 1e9) {
                 return fail(field, "must be a number above 0");
@@ -176,6 +220,9 @@
         if s.state.txn_ops < 3 {
             return fail("settings.state.txn_ops", "must be at least 3");
         }
+        if next.txn_ops.is_some_and(|n| n < 3) {
+            return fail("settings.state.next.txn_ops", "must be at least 3");
+        }
         if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
             return fail("settings.cloud.list_lag_s", "must be a number of 0 or more");
         }
@@ -212,6 +259,21 @@
         let bad = EXAMPLE.replace("\"lease_s\":27.0", "\"lease_s\":0");
         let error = Platform::parse("f", &bad).expect_err("zero lease");
         assert!(error.to_string().contains("settings.workers.lease_s"));
+        let next = |limits: &str| {
+            let state = format!("\"txn_ops\":8,\"next\":{limits}");
+            Platform::parse("f", &EXAMPLE.replace("\"txn_ops\":8", &state))
+        };
+        let lowered = next(r#"{"value_kb":2,"txn_ops":4,"rps":900}"#).expect("valid");
+        let planned = lowered.settings.state.planned();
+        assert_eq!((planned.value_bytes(), planned.txn_ops), (2048, 4));
+        assert_eq!((planned.rps, planned.write_rps), (80.0, 25.0), "the lesser");
+        for (limits, field) in [
+            (r#"{"value_kb":0}"#, "settings.state.next.value_kb"),
+            (r#"{"txn_ops":1}"#, "settings.state.next.txn_ops"),
+        ] {
+            let error = next(limits).expect_err(field);
+            assert!(error.to_string().contains(field));
+        }
         let missing = EXAMPLE.replace("\"report_s\":3.0,", "");
         let error = Platform::parse("f", &missing).expect_err("missing");
         assert!(error.to_string().contains("report_s"));
--- a/src/storage/client.rs
+++ b/src/storage/client.rs
@@ -31,6 +31,10 @@
     /// keys have to be read again, in pages.
     #[error("the watch is too old")]
     TooOld,
+    /// It calls the request malformed: larger than its limits, as far as is known.
+    /// It will never take it as it is.
+    #[error("too large: {0}")]
+    TooLarge(String),
     /// An answer outside its protocol.
     #[error("unexpected answer: {0}")]
     Unexpected(String),
@@ -212,6 +216,7 @@
             StatusCode::BAD_REQUEST if answer.body.windows(13).any(|w| w == b"no such lease") => {
                 Err(StateError::HoldEnded)
             }
+            StatusCode::BAD_REQUEST => Err(StateError::TooLarge(text(&answer))),
             _ => Err(unexpected(&answer)),
         }
     }
@@ -308,9 +313,13 @@
     serde_json::from_slice(&answer.body).map_err(|e| StateError::Unexpected(e.to_string()))
 }
 
-fn unexpected(answer: &Answer) -> StateError {
+fn text(answer: &Answer) -> String {
     let text: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
-    StateError::Unexpected(format!("{} {text}", answer.status))
+    format!("{} {text}", answer.status)
+}
+
+fn unexpected(answer: &Answer) -> StateError {
+    StateError::Unexpected(text(answer))
 }
 
 /// A pause before another try, with jitter.
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -42,6 +42,29 @@
             spec,
         }
     }
+
+    /// The same within a value's limit, which may have been lowered since the job
+    /// was accepted: what its last tasks use stays, what only told where they may
+    /// start goes, and names of any length are cut.
+    pub fn within(mut self, value_bytes: usize) -> Self {
+        let fits =
+            |record: &Self| serde_json::to_vec(record).is_ok_and(|text| text.len() <= value_bytes);
+        if fits(&self) {
+            return self;
+        }
+        self.spec.machine_types = None;
+        for longest in [200, 64, 16] {
+            for name in [&mut self.spec.image, &mut self.spec.class] {
+                let end = (0..=longest.min(name.len())).rev();
+                let end = end.into_iter().find(|at| name.is_char_boundary(*at));
+                name.truncate(end.unwrap_or(0));
+            }
+            if fits(&self) {
+                break;
+            }
+        }
+        self
+    }
 }
 
 /// Who runs the shard.
--- a/src/storage/roster.rs
+++ b/src/storage/roster.rs
@@ -36,6 +36,8 @@
     page_of: BTreeMap<MachineId, u32>,
     /// Pages that differ from what is stored.
     changed: BTreeSet<u32>,
+    /// Pages whose entries went to others: written after these.
+    shrinking: BTreeSet<u32>,
 }
 
 /// Reads one stored page; None if it can't be read.
@@ -49,8 +51,14 @@
 }
 
 impl Roster {
-    /// Takes in an entry of a stored page.
+    /// Takes in an entry of a stored page. One that stands on two, since its page
+    /// was being split when its owner ended, stays on the first.
     pub fn load(&mut self, page: u32, id: MachineId, record: RosterRecord) {
+        if self.page_of.contains_key(&id) {
+            self.pages.entry(page).or_default();
+            self.changed.insert(page);
+            return;
+        }
         let target = self.pages.entry(page).or_default();
         target.bytes += size(&id, &record);
         target.machines.insert(id.clone(), record);
@@ -77,6 +85,43 @@
         self.changed.insert(at);
     }
 
+    /// Divides changed pages that hold more than a value may: what was written
+    /// under a larger limit can't be written again as it is. What moves is written
+    /// before what it leaves, so that no entry is ever missing.
+    fn split(&mut self, value_bytes: usize) {
+        let room = value_bytes.saturating_sub(FRAME);
+        let too_large = |at: &u32| self.pages.get(at).is_some_and(|page| page.bytes > room);
+        let large: Vec<u32> = self.changed.iter().copied().filter(too_large).collect();
+        for at in large {
+            let mut moving = Vec::new();
+            if let Some(page) = self.pages.get_mut(&at) {
+                while page.bytes > room
+                    && page.machines.len() > 1
+                    && let Some((id, record)) = page.machines.pop_last()
+                {
+                    page.bytes -= size(&id, &record);
+                    moving.push((id, record));
+                }
+            }
+            self.shrinking.insert(at);
+            self.changed.remove(&at);
+            for (id, record) in moving {
+                self.page_of.remove(&id);
+                self.put(&id, record, value_bytes);
+            }
+        }
+    }
+
+    /// Puts changes back that were not written.
+    pub fn not_written(&mut self, key: &str) -> bool {
+        let page = key.strip_prefix(&keys::roster_prefix());
+        let Some(at) = page.and_then(|page| page.parse().ok()) else {
+            return false;
+        };
+        self.changed.insert(at);
+        true
+    }
+
     /// Takes a machine off.
     pub fn remove(&mut self, id: &MachineId) {
         let Some(at) = self.page_of.remove(id) else {
@@ -92,12 +137,17 @@
 
     /// Whether some page has to be written.
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty()
+        !(self.changed.is_empty() && self.shrinking.is_empty())
     }
 
-    /// The write of the next changed page, which then counts as written.
-    pub fn next_change(&mut self) -> Option<Change> {
-        let at = self.changed.pop_first()?;
+    /// The write of the next changed page, which then counts as written;
+    /// `value_bytes` is the most that a page may take.
+    pub fn next_change(&mut self, value_bytes: usize) -> Option<Change> {
+        self.split(value_bytes);
+        let at = self
+            .changed
+            .pop_first()
+            .or_else(|| self.shrinking.pop_first())?;
         let key = keys::roster_page(at);
         let machines = match self.pages.get(&at) {
             Some(page) if !page.machines.is_empty() => &page.machines,
@@ -136,7 +186,7 @@
 
     fn apply(roster: &mut Roster, stored: &mut BTreeMap<String, Value>) -> usize {
         let mut writes = 0;
-        while let Some(change) = roster.next_change() {
+        while let Some(change) = roster.next_change(8192) {
             writes += 1;
             match change {
                 Change::Put { key, value, .. } => stored.insert(key, value),
@@ -146,6 +196,50 @@
         writes
     }
 
+    /// Found by reading, before the limits were lowered: a page that holds more than
+    /// a value may is divided when it is written again, and no machine is missing
+    /// from the store at any moment, nor twice on the roster of who loads it then.
+    #[test]
+    fn a_page_larger_than_a_lowered_limit_is_split_without_losing_a_machine() {
+        let mut roster = Roster::default();
+        let mut stored = BTreeMap::new();
+        for n in 0..140 {
+            roster.put(&format!("vm-{n:06}").into(), record(n), 16_384);
+        }
+        while let Some(change) = roster.next_change(16_384) {
+            if let Change::Put { key, value, .. } = change {
+                stored.insert(key, value);
+            }
+        }
+        let load = |stored: &BTreeMap<String, Value>| {
+            let mut roster = Roster::default();
+            for (key, value) in stored {
+                let page = key[keys::roster_prefix().len()..].parse().expect("a page");
+                for (id, record) in read_page(value).expect("a page") {
+                    roster.load(page, id.as_str().into(), record);
+                }
+            }
+            roster
+        };
+        let mut roster = load(&stored);
+        roster.remove(&"vm-000007".into());
+        let mut writes = 0;
+        while let Some(change) = roster.next_change(2048) {
+            let Change::Put { key, value, .. } = change else {
+                panic!("no page is empty");
+            };
+            assert!(value.to_string().len() <= 2048);
+            stored.insert(key, value);
+            writes += 1;
+            let loaded = load(&stored);
+            let entries: usize = loaded.pages.values().map(|page| page.machines.len()).sum();
+            assert_eq!(entries, loaded.page_of.len(), "each on one page");
+            assert!(loaded.page_of.len() >= 139);
+        }
+        assert!(writes > 5, "{writes} writes");
+        assert_eq!(load(&stored).page_of.len(), 139);
+    }
+
     #[test]
     fn a_thousand_machines_take_few_pages_within_the_value_limit() {
         let mut roster = Roster::default();
--- a/src/storage/snapshot.rs
+++ b/src/storage/snapshot.rs
@@ -16,8 +16,9 @@
 const BUCKETS: usize = 8;
 /// Room left in a chunk for its frame.
 const FRAME: usize = 64;
-/// Longest piece of one job, in bytes of text.
+/// Longest piece of one job, in bytes of text, and in parts of a value.
 const PIECE: usize = 1024;
+const PIECES: usize = 4;
 
 /// One job's part of a snapshot.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -49,11 +50,11 @@
     (hash % BUCKETS as u64) as usize
 }
 
-fn join_pieces(items: impl Iterator<Item = String>) -> Vec<String> {
+fn join_pieces(items: impl Iterator<Item = String>, longest: usize) -> Vec<String> {
     let mut pieces: Vec<String> = Vec::new();
     for item in items {
         match pieces.last_mut() {
-            Some(last) if last.len() + item.len() < PIECE => {
+            Some(last) if last.len() + item.len() < longest => {
                 last.push(',');
                 last.push_str(&item);
             }
@@ -69,10 +70,14 @@
     value_bytes: usize,
 ) -> BTreeMap<String, Value> {
     let mut buckets: Vec<Vec<Piece>> = (0..BUCKETS).map(|_| Vec::new()).collect();
+    let longest = PIECE.min(value_bytes / PIECES);
     for (id, done, placed) in jobs {
         let target = &mut buckets[bucket(id)];
-        let done = join_pieces(done.ranges().into_iter().map(write_range));
-        let placed = join_pieces(placed.into_iter().map(|(n, at)| format!("{n}@{at}")));
+        let done = join_pieces(done.ranges().into_iter().map(write_range), longest);
+        let placed = join_pieces(
+            placed.into_iter().map(|(n, at)| format!("{n}@{at}")),
+            longest,
+        );
         let rows = done.len().max(placed.len());
         let (mut done, mut placed) = (done.into_iter(), placed.into_iter());
         for _ in 0..rows {
@@ -147,13 +152,15 @@
             done.insert(n);
         }
         let placed: Vec<(u32, String)> = (0..500).map(|n| (n * 2 + 1, "vm-1".into())).collect();
-        let chunks = encode([("run-1", &done, placed)].into_iter(), 8192);
-        assert!(chunks.len() > 10);
-        for value in chunks.values() {
-            assert!(value.to_string().len() <= 8192);
+        for most in [8192, 2048] {
+            let chunks = encode([("run-1", &done, placed.clone())].into_iter(), most);
+            assert!(chunks.len() > 10);
+            for value in chunks.values() {
+                assert!(value.to_string().len() <= most);
+            }
+            let read = decode(chunks.values());
+            assert_eq!(read["run-1"].done, done);
+            assert_eq!(read["run-1"].placed.len(), 500);
         }
-        let read = decode(chunks.values());
-        assert_eq!(read["run-1"].done, done);
-        assert_eq!(read["run-1"].placed.len(), 500);
     }
 }
--- /dev/null
+++ b/tests/versions.rs
@@ -0,0 +1,161 @@
+//! What the version in production writes and sends, recorded with that version:
+//! this one has to read it, and to write the same for it to read.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use valegap::protocol::peers::{
+    PeerAnswer, PeerRequest, Progress, Pulse, decode_answer, decode_request, encode_answer,
+    encode_request,
+};
+use valegap::protocol::users::{JobKind, Stage};
+use valegap::storage::records::{
+    FinalRecord, HearingRecord, JobRecord, KeeperRecord, OwnerRecord, RosterRecord, SequenceRecord,
+};
+
+const PULSE: &[&str] = &[
+    "6764616e736b2d6c6f6674706f7a6e616e2d68616c6c72756e2d3136373431398a000000f6ffffff",
+    "0300000039000000000000000000000063656c6c61722d318b000000c0ffffff01000000e4020000",
+    "5d0000000000000001000000000000005e03000000000000010000008b0000009fffffffacffffff",
+    "01000000000000000410000000000000",
+];
+const PROMISE: &[&str] = &[
+    "0100000000000000e803000000000000000000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "0000000000000000",
+];
+const FORWARD: &[&str] = &[
+    "2f76312f6a6f62732f72756e2d3136373431392f63616e63656c01020300000002000000504f5354",
+    "ffffffff9a000000d4ffffffe6ffffff030000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000",
+];
+const ANSWERED_PULSE: &[&str] = &[
+    "6764616e736b2d6c6f6674706f7a6e616e2d68616c6c72756e2d3136373431398a000000f6ffffff",
+    "0300000039000000000000000000000063656c6c61722d318b000000c0ffffff01000000e4020000",
+    "5d0000000000000001000000000000005e03000000000000010000008b0000009fffffffacffffff",
+    "01000000000000000410000000000000",
+];
+const ANSWERED_PROMISE: &[&str] = &[
+    "01010000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "0000000000000000",
+];
+const ANSWER: &[&str] = &[
+    "7b7d0000000000000200c800f4ffffff020000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000",
+];
+const UNREADABLE: &[&str] = &[
+    "03000000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "00000000000000000000000000000000000000000000000000000000000000000000000000000000",
+    "0000000000000000",
+];
+const JOB_RECORD: &str = r#"{"v":2,"at_ms":17,"spec":{"class":"train","team":"vision","kind":"batch","priority":"high","tasks":16,"cores":8.0,"accelerators":1.0,"mem_gb":64.0,"image":"img-07","image_gb":6.2,"machine_types":["g8"],"zone":null,"one_zone":true,"scatter":false,"spot":true,"duration_s":240.0,"checkpoint_s":30.0,"save_s":4.0,"deadline_s":900.0}}"#;
+const FINAL_RECORD: &str = r#"{"v":2,"stage":"cancelled","tasks":16,"spec":{"class":"train","team":"vision","kind":"batch","priority":"high","tasks":16,"cores":8.0,"accelerators":1.0,"mem_gb":64.0,"image":"img-07","image_gb":6.2,"machine_types":["g8"],"zone":null,"one_zone":true,"scatter":false,"spot":true,"duration_s":240.0,"checkpoint_s":30.0,"save_s":4.0,"deadline_s":900.0}}"#;
+const OWNER_RECORD: &str = r#"{"v":2,"label":"cellar-1","hold":4,"run":99}"#;
+const KEEPER_RECORD: &str = r#"{"v":2,"term":862,"inventory":true}"#;
+const HEARING_RECORD: &str = r#"{"v":2,"workers":7,"at_ms":1}"#;
+const SEQ_RECORD: &str = r#"{"v":2,"term":862,"n":41}"#;
+const ROSTER_RECORD: &str = r#"{"a":"10.1.0.232:9000","t":"lectern","z":"gdansk-loft","s":true}"#;
+
+fn bytes(rows: &[&str]) -> Vec<u8> {
+    let text = rows.concat();
+    let pair = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("hexadecimal");
+    (0..text.len()).step_by(2).map(pair).collect()
+}
+
+fn pulse() -> Pulse {
+    Pulse {
+        label: "cellar-1".into(),
+        zone: "gdansk-loft".into(),
+        state_served: true,
+        workers_heard: 740,
+        up_s: 93,
+        term: Some(862),
+        main_zone: Some("poznan-hall".into()),
+        progress: vec![Progress {
+            job: "run-167419".into(),
+            done: 3,
+            running: 57,
+        }],
+        deaf: false,
+        kept_ago_ms: 4100,
+    }
+}
+
+#[test]
+fn frames_are_those_of_the_version_in_production() {
+    let forward = PeerRequest::Forward {
+        method: "POST".into(),
+        path: "/v1/jobs/run-167419/cancel".into(),
+        body: vec![1, 2, 3],
+    };
+    let promise = PeerRequest::Promise { millis: 1000 };
+    for (request, recorded) in [
+        (PeerRequest::Pulse(pulse()), PULSE),
+        (promise, PROMISE),
+        (forward, FORWARD),
+    ] {
+        let recorded = bytes(recorded);
+        assert_eq!(encode_request(&request), recorded);
+        let read = decode_request(&recorded).expect("a request");
+        assert_eq!(format!("{read:?}"), format!("{request:?}"));
+    }
+    let answer = PeerAnswer::Answer {
+        status: 200,
+        body: b"{}".to_vec(),
+    };
+    for (answer, recorded) in [
+        (PeerAnswer::Pulse(pulse()), ANSWERED_PULSE),
+        (PeerAnswer::Promise { given: true }, ANSWERED_PROMISE),
+        (answer, ANSWER),
+        (PeerAnswer::Unreadable, UNREADABLE),
+    ] {
+        let recorded = bytes(recorded);
+        assert_eq!(encode_answer(&answer), recorded);
+        let read = decode_answer(&recorded).expect("an answer");
+        assert_eq!(format!("{read:?}"), format!("{answer:?}"));
+    }
+}
+
+/// Reads a record and writes it as it was.
+fn kept<T: Serialize + DeserializeOwned>(recorded: &str) -> T {
+    let record: T = serde_json::from_str(recorded).expect("a record");
+    assert_eq!(serde_json::to_string(&record).expect("JSON"), recorded);
+    record
+}
+
+#[test]
+fn records_are_those_of_the_version_in_production() {
+    let job: JobRecord = kept(JOB_RECORD);
+    assert_eq!((job.spec.kind, job.spec.tasks), (JobKind::Batch, 16));
+    let last: FinalRecord = kept(FINAL_RECORD);
+    assert_eq!(last.stage, Stage::Cancelled);
+    assert_eq!(kept::<OwnerRecord>(OWNER_RECORD).hold, 4);
+    assert!(kept::<KeeperRecord>(KEEPER_RECORD).inventory);
+    assert_eq!(kept::<HearingRecord>(HEARING_RECORD).workers, 7);
+    assert_eq!(kept::<SequenceRecord>(SEQ_RECORD).n, 41);
+    assert!(kept::<RosterRecord>(ROSTER_RECORD).spot);
+}
+
+/// A job whose description is longer than a lowered limit still ends: what its last
+/// tasks may use stays in its final record, which the older version reads as well.
+#[test]
+fn a_final_record_fits_a_lowered_limit() {
+    let mut job: JobRecord = kept(JOB_RECORD);
+    job.spec.machine_types = Some((0..200).map(|n| format!("kind-{n:0100}")).collect());
+    job.spec.image = "ä".repeat(100);
+    let whole = FinalRecord::new(Stage::Done, job.spec);
+    assert!(serde_json::to_vec(&whole).expect("JSON").len() > 16_384);
+    let last = whole.clone().within(512);
+    assert!(serde_json::to_vec(&last).expect("JSON").len() <= 512);
+    let read: FinalRecord = serde_json::from_value(serde_json::to_value(&last).expect("JSON"))
+        .expect("what the older version reads");
+    assert_eq!((read.stage, read.tasks), (whole.stage, whole.tasks));
+    assert_eq!(read.spec.team, whole.spec.team);
+    assert_eq!(read.spec.cores, whole.spec.cores);
+    assert_eq!(
+        whole.clone().within(1 << 20),
+        whole,
+        "as it is where it fits"
+    );
+}
