Gangs: placed whole, stopped whole, rebuilt from reports

Form group is taken: all tasks of an attempt carry one number and are launched on places found for all at once, in one zone where asked, within the team's limit for the whole. Room is gathered for a gang that found too little, and made for it whole or not at all. Before anything is told to machines, one function brings each gang into line: who stops one task, for whatever reason, stops all with the same time to save; a task lost before the start is replaced under the same number while there is time; one lost later ends the attempt, and the next begins when nothing of it can exist. One done task means that all are. The random world knows gangs.

--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::slowness::RunTimes;
-use super::{Action, Shard};
+use super::{Action, GangAttempt, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Stage};
 use crate::protocol::{JobId, MachineId};
 use crate::storage::records::{FinalRecord, JobRecord};
@@ -42,6 +42,8 @@
     pub finish_sent: bool,
     /// Some of its tasks can't wait for cheap room alone.
     pub pressed: bool,
+    /// If it is a gang, its present attempt.
+    pub gang: GangAttempt,
     /// Where to look first for a task that waits.
     cursor: u32,
 }
@@ -64,6 +66,7 @@
             over: None,
             finish_sent: false,
             pressed: false,
+            gang: GangAttempt::default(),
             cursor: 0,
         }
     }
@@ -134,6 +137,9 @@
             } else {
                 self.nowhere.insert(index);
             }
+            if self.live.is_empty() {
+                self.gang = GangAttempt::default();
+            }
         }
     }
 
@@ -153,7 +159,7 @@
     }
 
     pub fn all_done(&self) -> bool {
-        self.spec.kind == JobKind::Batch && self.done.len() >= self.spec.tasks
+        self.spec.kind != JobKind::Standing && self.done.len() >= self.spec.tasks
     }
 
     /// When it should be complete, in time of day.
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -16,6 +16,8 @@
     /// Decided; no report has shown it yet.
     Launching,
     Fetching,
+    /// A gang's task that waits for the others.
+    Waiting,
     Running,
     Saving,
     Ended(Ending),
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod drain;
 mod fleet;
+mod gang;
 mod jobs;
 mod keeping;
 mod machines;
@@ -21,6 +22,7 @@
 pub use book::{Machines, Tally};
 pub use cluster::{Loaded, LoadedMachine};
 pub use fleet::RentalOutcome;
+pub use gang::GangAttempt;
 pub use jobs::Job;
 pub use keeping::keeper_commands;
 pub use machines::{Attempt, Machine, Phase};
@@ -104,6 +106,8 @@
     pub deadline_times: HashMap<String, Vec<f64>>,
     pub report: Duration,
     pub worker_lease: Duration,
+    /// How long a gang's task waits for the others.
+    pub gang_wait: Duration,
     /// How long another controller may go on answering workers on its own.
     pub alone: Duration,
     pub txn_ops: usize,
@@ -145,6 +149,7 @@
             deadline_times: deadline_times(&given.objectives),
             report: given.workers.report(),
             worker_lease: given.workers.lease(),
+            gang_wait: given.workers.gang_wait(),
             alone: standing::longest(settings),
             txn_ops: state.txn_ops,
             value_bytes: state.value_bytes(),
@@ -272,8 +277,10 @@
     /// Works out the difference between what is wanted and what is.
     pub fn settle(&mut self, now: Instant) {
         if std::mem::take(&mut self.restless) {
+            self.mind_gangs(now);
             self.withdraw_launches(now);
             self.place(now);
+            self.mind_gangs(now);
             self.withdraw_launches(now);
             self.flush_commands(now);
         }
@@ -380,7 +387,7 @@
                 let cores = spec.cores * f64::from(*count);
                 match spec.kind {
                     JobKind::Standing => services += cores,
-                    JobKind::Batch => batch += cores,
+                    JobKind::Batch | JobKind::Gang => batch += cores,
                 }
             }
         }
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::gang::MOST_GATHERING;
 use super::machines::Amounts;
 use super::{Attempt, Job, Machine, Phase, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Priority};
@@ -49,16 +50,23 @@
     /// Whether one more task of a job fits.
     fn fits(&self, spec: &JobSpec) -> bool {
         let mut free = self.free;
-        if spec.kind == JobKind::Batch {
+        if spec.kind != JobKind::Standing {
             if self.held {
                 return false;
             }
-            free.cores -= self.reserved.cores;
-            free.accelerators -= self.reserved.accelerators;
-            free.mem_gb -= self.reserved.mem_gb;
+            free = free.less(&self.reserved);
         }
         free.holds(spec)
     }
+
+    /// How many more tasks of a job fit.
+    pub(super) fn room_for(&self, spec: &JobSpec) -> u32 {
+        if self.fits(spec) {
+            self.free.less(&self.reserved).fits(spec)
+        } else {
+            0
+        }
+    }
 }
 
 /// What the teams may be using, counting all that might exist.
@@ -112,8 +120,13 @@
         holding.unwrap_or(Holding::Nothing)
     }
 
+    /// Whether a machine would have to fetch a job's image.
+    pub(super) fn lacks_image(&self, spec: &JobSpec, at: usize) -> bool {
+        self.holding(spec, at) == Holding::Nothing
+    }
+
     /// A task was placed on a slot.
-    fn take(&mut self, spec: &JobSpec, at: usize) {
+    pub(super) fn take(&mut self, spec: &JobSpec, at: usize) {
         self.slots[at].free.take(spec);
         self.usage.add(spec, 1);
         if let Some(holdings) = self.images.get_mut(&spec.image) {
@@ -264,6 +277,7 @@
         };
         let mut stuck = Vec::new();
         let mut placed_in_all = 0;
+        let mut gathering = 0;
         let wall = self.wall_ms(now);
         self.begin_starving(&mut pass, wall, now);
         for (_, teams) in levels {
@@ -282,7 +296,16 @@
                     queues.remove(&team);
                     continue;
                 };
-                let placed = self.place_some(&id, BLOCK, &mut pass, now);
+                let gang = self.jobs.get(&id).is_some_and(|job| job.spec.is_gang());
+                let placed = if gang {
+                    self.place_gang(&id, &mut pass, now)
+                } else {
+                    self.place_some(&id, BLOCK, &mut pass, now)
+                };
+                if gang && placed == 0 && gathering < MOST_GATHERING {
+                    gathering += 1;
+                    self.gather_for_gang(&id, &mut pass);
+                }
                 placed_in_all += placed;
                 if placed_in_all >= MOST_PLACED {
                     // Reports and renewals come first; the next pass goes on.
@@ -310,6 +333,7 @@
             .filter(|job| {
                 let age = Duration::from_millis(wall.saturating_sub(job.at_ms));
                 age > STARVING
+                    && !job.spec.is_gang()
                     && job.waiting() > 0
                     && job.live().is_empty()
                     && job.done().is_empty()
@@ -435,7 +459,7 @@
     }
 
     /// Looks once a pass which machines hold or fetch an image.
-    fn look_for_image(&self, image: &str, pass: &mut Pass) {
+    pub(super) fn look_for_image(&self, image: &str, pass: &mut Pass) {
         if pass.images.contains_key(image) {
             return;
         }
@@ -503,7 +527,7 @@
         // Services stay where a controller hears them through a cut.
         let near = match spec.kind {
             JobKind::Standing => self.main_zone.as_deref(),
-            JobKind::Batch => None,
+            JobKind::Batch | JobKind::Gang => None,
         };
         let within = self.policy.wait_within.get(&spec.class).copied();
         let stays = self.stays_with_services(job, &zones, pass);
@@ -662,6 +686,17 @@
 
     fn launch(&mut self, id: &JobId, index: u32, machine_id: &MachineId, now: Instant) {
         let take = self.new_take();
+        self.launch_as(id, index, machine_id, take, now);
+    }
+
+    pub(super) fn launch_as(
+        &mut self,
+        id: &JobId,
+        index: u32,
+        machine_id: &MachineId,
+        take: u64,
+        now: Instant,
+    ) {
         let (Some(job), Some(machine)) = (self.jobs.get_mut(id), self.machines.get_mut(machine_id))
         else {
             return;
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -145,6 +145,8 @@
             let companions = *companions;
             let mut left = demand.count;
             let spread = demand.spec.tasks.div_ceil(2);
+            let zone = self.gang_zone(&demand, &bins);
+            let elsewhere = |at: &str| zone.as_deref().is_some_and(|zone| zone != at);
             let mut per_zone: HashMap<Arc<str>, u32> = HashMap::new();
             for bin in &mut bins {
                 if left == 0 {
@@ -154,7 +156,7 @@
                 if too_costly || !allowed(&demand.spec, &bin.machine_type, &bin.zone, bin.spot) {
                     continue;
                 }
-                if !bin.could_hold(&demand.spec) {
+                if !bin.could_hold(&demand.spec) || elsewhere(&bin.zone) {
                     continue;
                 }
                 bin.make_room(&demand.spec, left);
@@ -172,7 +174,9 @@
                 left -= n;
             }
             while left > 0 {
-                let Some(offer) = self.best_offer(&demand, left + companions, &crowds, now) else {
+                let Some(offer) =
+                    self.best_offer(&demand, left + companions, zone.as_deref(), &crowds, now)
+                else {
                     break;
                 };
                 let mut free = Amounts::of_type(&offer.kind);
@@ -222,6 +226,23 @@
         self.give_back(&bins, now);
     }
 
+    /// Where a gang's room is wanted, if it has to be in one zone: where it has
+    /// begun, or where there is most of it already.
+    fn gang_zone(&self, demand: &Demand, bins: &[Bin]) -> Option<Arc<str>> {
+        let spec = &demand.spec;
+        if !(spec.is_gang() && spec.one_zone && demand.one_job) {
+            return None;
+        }
+        let mut room: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        for bin in bins {
+            if allowed(spec, &bin.machine_type, &bin.zone, bin.spot) {
+                *room.entry(bin.zone.clone()).or_default() += bin.free.fits(spec);
+            }
+        }
+        let most = room.into_iter().max_by_key(|(_, n)| *n);
+        most.filter(|(_, n)| *n > 0).map(|(zone, _)| zone)
+    }
+
     fn bins(&self, now: Instant) -> Vec<Bin> {
         let mut bins = Vec::new();
         for machine in self.machines.values() {
@@ -317,6 +338,10 @@
                 usage.add(&job.spec, 1);
                 count += 1;
             }
+            if job.spec.is_gang() && count < waiting {
+                // A part of it is of no use.
+                continue;
+            }
             if job.spec.kind == JobKind::Batch {
                 queued += f64::from(count) * job.spec.cores * job.spec.duration_s;
             }
@@ -528,6 +553,7 @@
         &self,
         demand: &Demand,
         left: u32,
+        only: Option<&str>,
         crowds: &HashMap<(&str, &str), f64>,
         now: Instant,
     ) -> Option<Offer> {
@@ -542,6 +568,7 @@
                 .zones
                 .iter()
                 .filter(|zone| !self.cut_off.contains(*zone))
+                .filter(|zone| only.is_none_or(|only| *only == **zone))
             {
                 for spot in [false, true] {
                     let price = if spot {
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -1,6 +1,6 @@
 //! Making room for work that comes first.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,7 @@
 const MOST_STOPPED: usize = 64;
 
 /// An attempt that is to stop, and what comes instead.
+#[derive(Clone)]
 struct Stop {
     machine: MachineId,
     key: (TaskId, u64),
@@ -30,6 +31,7 @@
 }
 
 /// What making room in one pass has used up so far.
+#[derive(Clone)]
 struct Making {
     usage: Usage,
     /// By slot, what is free or being freed, less what it is meant for.
@@ -50,8 +52,15 @@
             chosen: HashSet::new(),
         };
         for id in stuck.iter().take(MOST_JOBS) {
-            if let Some(job) = self.jobs.get(id) {
-                self.make_room(job, pass, &mut making, now);
+            match self.jobs.get(id) {
+                Some(job) if job.spec.is_gang() => {
+                    self.make_room_for_gang(job, pass, &mut making, now);
+                }
+                Some(job) => {
+                    let zones = self.live_zones(job);
+                    self.make_room(job, zones, pass, &mut making, now);
+                }
+                None => {}
             }
             if making.chosen.len() >= MOST_STOPPED {
                 break;
@@ -80,11 +89,46 @@
         pass.slots.iter().map(of).collect()
     }
 
+    /// Finds room for all tasks of a gang, or stops nothing: half of it helps
+    /// nobody.
+    fn make_room_for_gang(&self, job: &Job, pass: &Pass, making: &mut Making, now: Instant) {
+        if job.waiting() == 0 || self.placeable(job) < job.waiting() {
+            return;
+        }
+        let live = self.live_zones(job);
+        let mut choices = vec![live.clone()];
+        if job.spec.one_zone && live.is_empty() {
+            let zones = pass.slots.iter().map(|slot| slot.zone.clone());
+            let zones: BTreeSet<Arc<str>> = zones.collect();
+            choices = zones.into_iter().map(|zone| [(zone, 0)].into()).collect();
+        }
+        let mut best: Option<Making> = None;
+        for zones in choices {
+            let mut trial = making.clone();
+            if self.make_room(job, zones, pass, &mut trial, now)
+                && best
+                    .as_ref()
+                    .is_none_or(|b| trial.stops.len() < b.stops.len())
+            {
+                best = Some(trial);
+            }
+        }
+        if let Some(best) = best {
+            *making = best;
+        }
+    }
+
     /// Finds room for as many of a job's tasks as wait: what is being made
-    /// already, then what the cheapest victims would leave.
-    fn make_room(&self, job: &Job, pass: &Pass, making: &mut Making, now: Instant) {
+    /// already, then what the cheapest victims would leave. Whether all found some.
+    fn make_room(
+        &self,
+        job: &Job,
+        mut zones: BTreeMap<Arc<str>, u32>,
+        pass: &Pass,
+        making: &mut Making,
+        now: Instant,
+    ) -> bool {
         let spec = &job.spec;
-        let mut zones = self.live_zones(job);
         let stays = self.stays_with_services(job, &zones, pass);
         let suits: Vec<usize> = (0..pass.slots.len())
             .filter(|at| {
@@ -115,7 +159,7 @@
                         comes: spec.clone(),
                     });
                 }
-                return;
+                return false;
             }
             let zone_ok = |at: usize, zones: &BTreeMap<Arc<str>, u32>| {
                 let there = zones.get(&pass.slots[at].zone).copied();
@@ -127,7 +171,7 @@
                 .copied()
                 .find(|at| making.room[*at].holds(spec) && zone_ok(*at, &zones));
             if there.is_none() && making.chosen.len() >= MOST_STOPPED {
-                return;
+                return false;
             }
             let price =
                 |at: &usize, making: &Making| self.price(*at, spec, guaranteed, pass, making, now);
@@ -139,7 +183,7 @@
                     });
                     let mut cheapest = prices.keys().copied();
                     let Some(best) = cheapest.find(|(_, at)| zone_ok(*at, &zones)) else {
-                        return;
+                        return false;
                     };
                     for key in prices.remove(&best).unwrap_or_default() {
                         self.choose_victim(best.1, key, pass, making, spec);
@@ -150,8 +194,8 @@
             making.room[at].take(spec);
             making.usage.add(spec, 1);
             if there.is_none() {
-                if guaranteed {
-                    return;
+                if guaranteed && !spec.is_gang() {
+                    return false;
                 }
                 if let Some(prices) = &mut prices {
                     prices.extend(price(&at, making));
@@ -161,6 +205,7 @@
                 *zones.entry(pass.slots[at].zone.clone()).or_insert(0) += 1;
             }
         }
+        true
     }
 
     /// Notes that an attempt is to stop.
@@ -207,7 +252,7 @@
             .filter_map(|(key, attempt)| {
                 let other = attempt.spec.as_ref()?;
                 let may_stop = self.may_stop(spec, other, guaranteed, &making.usage);
-                may_stop.then(|| (other.priority, harm(attempt, now), key, other))
+                may_stop.then(|| (other.priority, self.harm(key, attempt, now), key, other))
             })
             .collect();
         candidates.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
@@ -241,7 +286,7 @@
                 if attempt.stop.is_some() {
                     return None;
                 }
-                let cost = (other.priority, harm(attempt, now));
+                let cost = (other.priority, self.harm(key, attempt, now));
                 if best
                     .as_ref()
                     .is_none_or(|(priority, harm, ..)| cost < (*priority, *harm))
@@ -266,6 +311,21 @@
         guaranteed && other.team != spec.team && beyond
     }
 
+    /// How much stopping an attempt now would hurt. A gang is stopped whole, and
+    /// had better be told in time everywhere.
+    fn harm(&self, key: &(TaskId, u64), attempt: &Attempt, now: Instant) -> Duration {
+        let of_one = harm(attempt, now);
+        let gang = attempt.spec.as_ref().filter(|spec| spec.is_gang());
+        gang.map_or(of_one, |spec| {
+            let unreached = if self.gang_in_reach(&key.0.job, now) {
+                Duration::ZERO
+            } else {
+                SERVICE_HARM
+            };
+            of_one * spec.tasks + unreached
+        })
+    }
+
     /// The victim gets its time to save, unless what comes can't wait for it:
     /// then it falls back to its last checkpoint.
     fn stop_for_room(&mut self, machine: &MachineId, key: &(TaskId, u64), comes: &JobSpec) {
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -158,6 +158,13 @@
             };
             if spec.kind == JobKind::Standing {
                 attempt.want_stop(Duration::ZERO);
+            } else if spec.is_gang() {
+                // The others of the gang have to be told in time as well.
+                if attempt.stop.is_some() {
+                    continue;
+                }
+                let enough = spec.checkpoint_s > 0.0 && left >= spec.save_time();
+                attempt.want_stop(if enough { left } else { Duration::ZERO });
             } else if spec.checkpoint_s > 0.0 {
                 if left.as_secs_f64() >= spec.save_s {
                     // Saving takes its time: later would be too late.
@@ -208,6 +215,7 @@
         }
         let phase = match line.state {
             TaskState::Fetching => Phase::Fetching,
+            TaskState::Waiting => Phase::Waiting,
             TaskState::Running => Phase::Running,
             TaskState::Saving => Phase::Saving,
             TaskState::Ended => Phase::Ended(line.ending.unwrap_or(Ending::Other)),
@@ -228,8 +236,8 @@
             tracing::debug!(machine = %id, task = %line.task, "running");
             attempt.running_since.get_or_insert(now);
         }
-        let started =
-            matches!(phase, Phase::Running | Phase::Saving) || phase == Phase::Ended(Ending::Done);
+        let started = matches!(phase, Phase::Waiting | Phase::Running | Phase::Saving)
+            || phase == Phase::Ended(Ending::Done);
         let image = attempt.spec.as_ref().map(|spec| spec.image.clone());
         if let (true, Some(image)) = (started, image) {
             machine.use_image(&image, IMAGES_REMEMBERED);
@@ -301,6 +309,13 @@
         // of interest to this owner.
         attempt.clearable = ending != Ending::Done || job.over.is_some();
         match ending {
+            Ending::Done if job.spec.is_gang() => {
+                // All tasks of a gang complete together, also those of which nobody
+                // will hear again, since their machine was lost at that moment.
+                self.writes.progress_changed(now);
+                let job = job.id.clone();
+                self.gang_task_done(&job);
+            }
             Ending::Done => {
                 job.complete(task.index);
                 if let Some(ran) = ran.filter(|_| typical) {
@@ -325,7 +340,11 @@
             Ending::NoRoom | Ending::Busy | Ending::Unknown | Ending::Other => {
                 job.not_before = Some(now + Duration::from_millis(500));
             }
-            Ending::Error | Ending::Stopped => {}
+            Ending::Alone => {
+                let job = job.id.clone();
+                self.gang_came_apart(&job, now);
+            }
+            Ending::Error | Ending::Stopped | Ending::Peers => {}
         }
         self.release(id, task);
         self.finish_if_done(&task.job.clone());
--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -45,7 +45,8 @@
         for job in self.jobs.values() {
             // Tasks that resume from a checkpoint run for any time.
             let bound = job.ran.overdue_after(job.spec.tasks);
-            let Some(bound) = bound.filter(|_| job.spec.checkpoint_s <= 0.0) else {
+            let comparable = job.spec.checkpoint_s <= 0.0 && !job.spec.is_gang();
+            let Some(bound) = bound.filter(|_| comparable) else {
                 continue;
             };
             let mut hosts: Vec<&MachineId> = job.live().values().collect();
@@ -92,7 +93,7 @@
                 continue;
             };
             attempt.want_stop(match spec.kind {
-                JobKind::Batch => spec.save_time(),
+                JobKind::Batch | JobKind::Gang => spec.save_time(),
                 JobKind::Standing => Duration::ZERO,
             });
         }
--- a/src/coordination/shard/tests/random.rs
+++ b/src/coordination/shard/tests/random.rs
@@ -33,6 +33,10 @@
                 job.kind = JobKind::Standing;
                 job.duration_s = 0.0;
                 job.tasks = 1 + job.tasks % 2;
+            } else if world.rng.random_bool(0.3) {
+                job.kind = JobKind::Gang;
+                job.tasks = 2 + job.tasks % 3;
+                job.cores = 1.0;
             }
             submitted += 1;
             world.submit(&format!("run-{submitted:06}"), job);
@@ -75,16 +79,18 @@
 
 #[test]
 fn no_rule_breaks_on_random_days() {
-    let mut starts = 0;
+    let (mut starts, mut gangs) = (0, 0);
     for seed in 0..SEEDS {
         let world = play(seed);
         assert!(world.broken.is_empty(), "seed {seed}: {:?}", world.broken);
         starts += world.starts;
+        gangs += world.gang_starts;
     }
     assert!(
         starts > 500,
         "only {starts} tasks started: the days test nothing"
     );
+    assert!(gangs > 100, "only {gangs} gangs started");
 }
 
 #[test]
--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -26,6 +26,10 @@
 pub const CANCEL: Duration = Duration::from_secs(52);
 /// How long a standing loan lasts: leases and this stay within [`CANCEL`].
 pub const ALONE: Duration = Duration::from_secs(24);
+/// How long a gang's task waits for the others, and how soon it notices that one
+/// is gone.
+pub const GANG_WAIT: Duration = Duration::from_secs(30);
+const GANG_PEER: Duration = Duration::from_secs(3);
 /// Share of the reports that come a second time.
 const COPIES: f64 = 0.1;
 pub const STEP: Duration = Duration::from_millis(100);
@@ -95,6 +99,7 @@
         deadline_times: HashMap::new(),
         report: Duration::from_secs(3),
         worker_lease: LEASE,
+        gang_wait: GANG_WAIT,
         alone: ALONE,
         txn_ops: 8,
         value_bytes: 8192,
@@ -116,6 +121,8 @@
     ending: Option<Ending>,
     fetched: Instant,
     ends: Instant,
+    /// A gang's task: since when it waits, or since when it knows that one is gone.
+    since: Instant,
 }
 
 #[derive(Debug)]
@@ -292,6 +299,9 @@
     outage_until: Option<Instant>,
     pub broken: Vec<String>,
     pub starts: usize,
+    /// By gang and attempt, when it ends once it has started; and how many have.
+    gangs: BTreeMap<(Arc<str>, u64), Instant>,
+    pub gang_starts: usize,
     /// Starts of jobs whose users had been told that they are cancelled.
     pub starts_after_cancel: usize,
 }
@@ -330,6 +340,8 @@
             kept: BTreeMap::new(),
             outage_until: None,
             starts_after_cancel: 0,
+            gangs: BTreeMap::new(),
+            gang_starts: 0,
             broken: Vec::new(),
             starts: 0,
         }
@@ -1005,6 +1017,7 @@
                         ending,
                         fetched: now + fetch,
                         ends: now + fetch + run,
+                        since: now,
                     };
                     worker.tasks.insert(key, state);
                     worker.next_report = now;
@@ -1060,20 +1073,25 @@
             let mut started = Vec::new();
             for ((task, _), state) in &mut worker.tasks {
                 if state.state == TaskState::Fetching && state.fetched <= now {
+                    let spec = self.specs.get(&*task.job);
                     if self.done.contains(task) {
                         state.state = TaskState::Ended;
                         state.ending = Some(Ending::Done);
+                    } else if spec.is_some_and(|spec| spec.is_gang()) {
+                        state.state = TaskState::Waiting;
+                        state.since = now;
+                        started.push(task.clone());
                     } else {
                         state.state = TaskState::Running;
                         started.push(task.clone());
                     }
                     worker.next_report = now;
                 } else if state.state == TaskState::Running && state.ends <= now {
-                    let standing = self
+                    let batch = self
                         .specs
                         .get(&*task.job)
-                        .is_some_and(|spec| spec.kind == JobKind::Standing);
-                    if !standing {
+                        .is_some_and(|spec| spec.kind == JobKind::Batch);
+                    if batch {
                         state.state = TaskState::Ended;
                         state.ending = Some(Ending::Done);
                         self.done.insert(task.clone());
@@ -1105,6 +1123,65 @@
         }
     }
 
+    /// Gangs start when their last task waits, complete together, and come apart
+    /// when one is gone.
+    fn run_gangs(&mut self) {
+        let now = self.now;
+        let mut attempts: BTreeMap<(Arc<str>, u64), u32> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| !worker.dead) {
+            for ((task, take), state) in &worker.tasks {
+                let spec = self.specs.get(&*task.job);
+                if state.state != TaskState::Ended && spec.is_some_and(|spec| spec.is_gang()) {
+                    let together = matches!(state.state, TaskState::Waiting | TaskState::Running);
+                    let hangs = lasts(worker.hang_until, now);
+                    *attempts.entry((task.job.clone(), *take)).or_default() +=
+                        u32::from(together && !hangs);
+                }
+            }
+        }
+        for ((job, take), together) in attempts {
+            let tasks = self.specs.get(&*job).map_or(0, |spec| spec.tasks);
+            let started = self.gangs.contains_key(&(job.clone(), take));
+            if together == tasks && !started {
+                let run = Duration::from_millis(self.rng.random_range(2000..20_000));
+                self.gangs.insert((job.clone(), take), now + run);
+                self.gang_starts += 1;
+            }
+            let ends = self.gangs.get(&(job.clone(), take)).copied();
+            let over = together == tasks && ends.is_some_and(|ends| ends <= now);
+            let mine = self.workers.values_mut().filter(|w| !w.dead);
+            for worker in mine.filter(|w| !lasts(w.hang_until, now)) {
+                let of_gang = |((task, at), state): &(&(TaskId, u64), &mut WorkerTask)| {
+                    task.job == job && *at == take && state.state != TaskState::Ended
+                };
+                for ((task, _), state) in worker.tasks.iter_mut().filter(of_gang) {
+                    let passed = now.saturating_duration_since(state.since);
+                    let whole = together == tasks;
+                    let (next, ending) = match state.state {
+                        _ if over => (TaskState::Ended, Some(Ending::Done)),
+                        TaskState::Waiting if whole => (TaskState::Running, None),
+                        TaskState::Running if whole => {
+                            state.since = now;
+                            continue;
+                        }
+                        TaskState::Waiting if passed > GANG_WAIT => {
+                            (TaskState::Ended, Some(Ending::Alone))
+                        }
+                        TaskState::Running if passed > GANG_PEER => {
+                            (TaskState::Ended, Some(Ending::Peers))
+                        }
+                        _ => continue,
+                    };
+                    if over {
+                        self.done.insert(task.clone());
+                    }
+                    (state.state, state.ending) = (next, ending);
+                    worker.next_report = now;
+                }
+            }
+        }
+    }
+
     fn on_machines(&self) -> Vec<(&TaskId, &Worker)> {
         self.workers
             .values()
@@ -1113,7 +1190,7 @@
                 worker
                     .tasks
                     .iter()
-                    .filter(|(_, s)| s.state == TaskState::Running)
+                    .filter(|(_, s)| matches!(s.state, TaskState::Running | TaskState::Waiting))
                     .map(move |((task, _), _)| (task, worker))
             })
             .collect()
@@ -1186,6 +1263,7 @@
         while self.now < end {
             self.now += STEP;
             self.run_workers();
+            self.run_gangs();
             while let Some((&key, _)) = self.queue.first_key_value()
                 && key.0 <= self.now
             {
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -17,6 +17,8 @@
 pub enum JobKind {
     Batch,
     Standing,
+    /// All tasks run at the same time or none does.
+    Gang,
 }
 
 /// Priorities, lowest first.
@@ -111,7 +113,8 @@
     let kind = match fields.text("Form")?.as_str() {
         "batch" => JobKind::Batch,
         "standing" => JobKind::Standing,
-        _ => return Err(Malformed::Invalid("Form", "batch or standing")),
+        "group" => JobKind::Gang,
+        _ => return Err(Malformed::Invalid("Form", "batch, standing or group")),
     };
     let priority = match fields.text("Tempo")?.as_str() {
         "prod" => Priority::Prod,
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -10,6 +10,8 @@
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
     Fetching,
+    /// A gang's task that waits for the others of its attempt.
+    Waiting,
     Running,
     #[serde(rename = "flushing")]
     Saving,
@@ -29,6 +31,10 @@
     #[serde(rename = "in_use")]
     Busy,
     Unknown,
+    /// Another task of its gang is gone.
+    Peers,
+    /// Its gang was not complete in time.
+    Alone,
     #[serde(other)]
     Other,
 }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -56,6 +56,21 @@
     pub report_s: f64,
     pub lease_s: f64,
     pub cancel_s: f64,
+    /// How long a gang's task waits for the others.
+    #[serde(default = "default_gang_wait")]
+    pub gang_wait_s: f64,
+    /// How soon a gang's tasks notice that one is gone, and within what time all
+    /// have to be told to stop.
+    #[serde(default = "default_gang_peer")]
+    pub gang_peer_s: f64,
+}
+
+fn default_gang_wait() -> f64 {
+    30.0
+}
+
+fn default_gang_peer() -> f64 {
+    5.0
 }
 
 impl Workers {
@@ -72,6 +87,10 @@
         Duration::from_secs_f64(self.lease_s)
     }
 
+    pub fn gang_wait(&self) -> Duration {
+        Duration::from_secs_f64(self.gang_wait_s)
+    }
+
     pub fn cancel(&self) -> Duration {
         Duration::from_secs_f64(self.cancel_s)
     }
@@ -199,6 +218,8 @@
             ("settings.workers.report_s", s.workers.report_s),
             ("settings.workers.lease_s", s.workers.lease_s),
             ("settings.workers.cancel_s", s.workers.cancel_s),
+            ("settings.workers.gang_wait_s", s.workers.gang_wait_s),
+            ("settings.workers.gang_peer_s", s.workers.gang_peer_s),
             ("settings.state.rps", s.state.rps),
             ("settings.state.write_rps", s.state.write_rps),
             ("settings.state.value_kb", s.state.value_kb),
