--- a/src/coordination/shard/tests/world.rs
+++ b/src/coordination/shard/tests/world.rs
@@ -909,8 +909,11 @@
         let kept = self.rng.random_bool(0.5);
         let loan = (self.term, self.now + ALONE);
         if let Some(worker) = self.workers.get_mut(id) {
+            // Who is cut off already can't be lent anything anew.
+            if worker.cut_until.is_none() {
+                worker.kept = kept.then_some(loan);
+            }
             worker.cut_until = Some(until);
-            worker.kept = kept.then_some(loan);
         }
     }
 
@@ -1104,9 +1107,18 @@
             if due {
                 worker.next_report = now + Duration::from_millis(self.rng.random_range(2250..3750));
             }
-            if let Some((term, _)) = worker.kept.filter(|(term, _)| due && *term >= worker.term) {
+            if let Some((term, until)) = worker.kept.filter(|(term, _)| due && *term >= worker.term)
+            {
                 worker.term = term;
                 worker.answered_sent = now;
+                // Its keeper stops what was cancelled before the cut.
+                for ((task, _), state) in &mut worker.tasks {
+                    let told = self.cancelled.get(&*task.job);
+                    if told.is_some_and(|at| *at + ALONE <= until) && state.ending.is_none() {
+                        state.state = TaskState::Ended;
+                        state.ending = Some(Ending::Stopped);
+                    }
+                }
                 self.kept.insert(term, now);
             }
             if let Some(report) = report {
