--- a/src/coordination/shard/gang.rs
+++ b/src/coordination/shard/gang.rs
@@ -20,6 +20,8 @@
 const REPLACED_WITHIN: f64 = 0.4;
 /// Pause before a gang that never came together is tried again.
 const TRY_AGAIN: Duration = Duration::from_secs(3);
+/// How long a gang waits before room is gathered for it.
+const GATHER_AFTER: Duration = Duration::from_secs(3);
 /// Waiting gangs for which room is gathered in one pass.
 pub(super) const MOST_GATHERING: usize = 16;
 
@@ -281,10 +283,14 @@
     /// Keeps room for a gang that found too little from what comes after it in this
     /// pass: what is free, and for the rest the machines with most of it, so that
     /// small work doesn't take each place as it falls free.
-    pub(super) fn gather_for_gang(&self, id: &JobId, pass: &mut Pass) {
+    pub(super) fn gather_for_gang(&self, id: &JobId, pass: &mut Pass, now: Instant) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
+        let age = Duration::from_millis(self.wall_ms(now).saturating_sub(job.at_ms));
+        if age < GATHER_AFTER {
+            return;
+        }
         let spec = job.spec.clone();
         let missing = job.waiting();
         if self.placeable(job) < missing || !self.within_limit_whole(pass, &spec, missing) {
--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -304,7 +304,7 @@
                 };
                 if gang && placed == 0 && gathering < MOST_GATHERING {
                     gathering += 1;
-                    self.gather_for_gang(&id, &mut pass);
+                    self.gather_for_gang(&id, &mut pass, now);
                 }
                 placed_in_all += placed;
                 if placed_in_all >= MOST_PLACED {
