Chunks fill a transaction, so that facts keep their share; gangs are looked at apart

Chunks now wait until they fill a transaction, or go along with facts, and pay for their own. When room is made, gangs are counted apart from arrays with earlier deadlines, and go by their stated start.

--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -403,8 +403,13 @@
             .flat_map(|s| multiples.iter().map(move |multiple| s * multiple));
         let within = self.policy.finish_within.get(class);
         let finish = within.map(|within| within.as_secs_f64());
+        // A gang that starts late is late as a whole.
+        let wait = self.policy.wait_within.get(class);
+        let start = wait.filter(|_| job.spec.is_gang());
+        let start = start.map(|within| within.as_secs_f64() + job.spec.duration_s);
         deadlines
             .chain(finish)
+            .chain(start)
             .map(after)
             .filter(|due| *due >= from)
             .min()
--- a/src/coordination/shard/preemption.rs
+++ b/src/coordination/shard/preemption.rs
@@ -17,7 +17,7 @@
 const SERVICE_HARM: Duration = Duration::from_secs(3600);
 /// Tasks that started less than this ago are rather left to run.
 const YOUNG: Duration = Duration::from_secs(30);
-/// Jobs looked at in one pass.
+/// Jobs looked at in one pass, and as many gangs.
 const MOST_JOBS: usize = 8;
 /// Tasks stopped in one pass.
 const MOST_STOPPED: usize = 64;
@@ -51,16 +51,21 @@
             stops: Vec::new(),
             chosen: HashSet::new(),
         };
-        for id in stuck.iter().take(MOST_JOBS) {
-            match self.jobs.get(id) {
-                Some(job) if job.spec.is_gang() => {
-                    self.make_room_for_gang(job, pass, &mut making, now);
-                }
-                Some(job) => {
-                    let zones = self.live_zones(job);
-                    self.make_room(job, zones, pass, &mut making, now);
-                }
-                None => {}
+        // Gangs have no other way to room, while arrays take what falls free: they
+        // are counted apart.
+        let (mut gangs, mut others) = (0, 0);
+        for job in stuck.iter().filter_map(|id| self.jobs.get(id)) {
+            let gang = job.spec.is_gang();
+            let looked = if gang { &mut gangs } else { &mut others };
+            if *looked >= MOST_JOBS {
+                continue;
+            }
+            *looked += 1;
+            if gang {
+                self.make_room_for_gang(job, pass, &mut making, now);
+            } else {
+                let zones = self.live_zones(job);
+                self.make_room(job, zones, pass, &mut making, now);
             }
             if making.chosen.len() >= MOST_STOPPED {
                 break;
--- a/src/coordination/shard/tests/limits.rs
+++ b/src/coordination/shard/tests/limits.rs
@@ -84,7 +84,7 @@
         ..policy()
     };
     let roster: Vec<LoadedMachine> = (0..150).map(|n| roster(&format!("vm-{n:06}"))).collect();
-    let jobs = (0..40).map(|n| {
+    let jobs = (0..120).map(|n| {
         let id = format!("run-{n:06}");
         (id, 5, record(spec("blue", 0.1, 40)))
     });
@@ -98,7 +98,7 @@
 
 /// Fills machines with tasks, some of which are done, so that the snapshot is large.
 fn busy(script: &mut Script) {
-    for n in 0..40 {
+    for n in 0..120 {
         let id = format!("vm-{n:06}");
         let tasks = (0..40)
             .map(|index| {
@@ -145,6 +145,48 @@
     assert!(pages("s/") > 8, "{} chunks", pages("s/"));
 }
 
+/// Found on the first day with lowered limits: each chunk of a large snapshot went in
+/// a transaction of its own, whose sequence number was charged to the facts, so that
+/// no machine was rented for 76 s.
+#[test]
+fn a_large_snapshot_does_not_starve_the_facts() {
+    let mut script = many(AFTER, 4);
+    script.shard.policy.snapshot_writes_per_s = 7.5;
+    script.shard.policy.fact_writes_per_s = 4.5;
+    let mut store = Store {
+        value_bytes: AFTER,
+        changes: 4,
+        keys: BTreeMap::new(),
+        refused: 0,
+    };
+    busy(&mut script);
+    // Every few seconds the whole snapshot differs, and a fact waits every second.
+    for step in 0..300_u64 {
+        script.now += Duration::from_millis(100);
+        for n in (0..120).filter(|_| step % 20 == 0) {
+            let tasks = (0..40)
+                .map(|index| {
+                    let task = format!("run-{n:06}/{index}");
+                    let ended = index % 3 == 0 || (index % 20) < step / 20;
+                    let done = ended.then_some(Ending::Done);
+                    let state = done.map_or(TaskState::Running, |_| TaskState::Ended);
+                    listed(&task, 7, state, done)
+                })
+                .collect();
+            let report = script.report_of(&format!("vm-{n:06}"), TERM, tasks);
+            script.shard.report(&report, script.now);
+        }
+        if step % 10 == 0 {
+            script.shard.lend(&format!("peer-{step}"), script.now);
+        }
+        script.shard.tick(script.now);
+        write_all(&mut script, &mut store);
+    }
+    let kept = store.keys.keys().filter(|key| key.contains("/keep/"));
+    let seen = kept.count();
+    assert!(seen >= 28, "{seen} of 30 facts were written");
+}
+
 /// Lowered in mid-write, and lower than anybody said: the write is never sent as it
 /// was, smaller ones follow, and in the end all stands in the store.
 #[test]
--- a/src/coordination/shard/writes.rs
+++ b/src/coordination/shard/writes.rs
@@ -193,11 +193,15 @@
         if !self.writes.roster.has_changes() && !write.changes.is_empty() {
             write.facts.append(&mut self.writes.entered);
         }
+        // Chunks go along with facts, or wait until they fill a transaction: one for
+        // each would spend as much on sequence numbers.
+        let full = (self.writes.chunks.len().min(room) + 1) as f64;
+        let chunks_allowed = self.writes.tokens >= full.min(self.most_chunks());
         while write.changes.len() < room {
             let from_facts = facts_allowed && !self.writes.facts.is_empty();
             let queue = if from_facts {
                 &mut self.writes.facts
-            } else if self.writes.tokens >= 1.0 {
+            } else if self.writes.tokens >= 1.0 && (chunks_allowed || !write.changes.is_empty()) {
                 &mut self.writes.chunks
             } else {
                 break;
@@ -227,17 +231,28 @@
             return;
         }
         // The sequence number is a change as well.
-        self.writes.fact_tokens -= 1.0;
+        let chunk = |fact: &Fact| matches!(fact, Fact::Chunk(..));
+        if write.facts.len() == write.changes.len() && write.facts.iter().all(chunk) {
+            self.writes.tokens -= 1.0;
+        } else {
+            self.writes.fact_tokens -= 1.0;
+        }
         self.writes.in_flight = true;
         self.out.push(Action::Write(write));
     }
 
+    /// Chunks that may be written at once.
+    fn most_chunks(&self) -> f64 {
+        self.policy.snapshot_writes_per_s.max(2.0)
+    }
+
     fn refill(&mut self, now: Instant) {
         let rate = self.policy.snapshot_writes_per_s;
         let fact_rate = self.policy.fact_writes_per_s;
+        let most = self.most_chunks();
         if let Some(last) = self.writes.refilled {
             let passed = now.saturating_duration_since(last).as_secs_f64();
-            self.writes.tokens = (self.writes.tokens + passed * rate).min(rate.max(2.0));
+            self.writes.tokens = (self.writes.tokens + passed * rate).min(most);
             self.writes.fact_tokens = (self.writes.fact_tokens + passed * fact_rate).min(fact_rate);
         } else {
             self.writes.tokens = rate;
