--- a/tests/trial/main.rs
+++ b/tests/trial/main.rs
@@ -241,6 +241,15 @@
     )
     .await;
 
+    // A gang whose tasks don't fit on one machine: it runs whole, or never ends.
+    support::worker::upload_gang("run-000007", 6);
+    let submit = job("run-000007", "group", 6);
+    let to = &controllers[1];
+    insist(&client, to, Method::POST, "/v1/jobs", &submit, accepted).await;
+    let path = "/v1/jobs/run-000007";
+    let done = in_stage("done");
+    insist(&client, to, Method::GET, path, &Value::Null, done).await;
+
     // A second job, and then the owner dies in the middle of it.
     let submit = job("run-000002", "batch", 12);
     insist(
--- a/tests/trial/meetings.rs
+++ b/tests/trial/meetings.rs
@@ -239,12 +239,16 @@
     let mut lacking = submission("run-000001", 1.0);
     lacking.as_object_mut().expect("an object").remove("Cores");
     let nowhere = submission("run-000001", 9.0);
+    // Two tasks of five cores: an array's run in turn, a gang's can't together.
+    let mut whole = submission("run-000001", 5.0);
+    whole["Form"] = json!("group");
     let mut stranger = submission("run-000001", 1.0);
     stranger["Section"] = json!("nobody");
     for node in [&served, &cut_off] {
         assert_eq!(submit(node, &lacking).await.status, 400);
         assert_eq!(submit(node, &nowhere).await.status, 422);
         assert_eq!(submit(node, &stranger).await.status, 422);
+        assert_eq!(submit(node, &whole).await.status, 422);
         assert_eq!(poll(node, "no such id").await.status, 404);
     }
     assert_eq!(poll(&served, "run-000001").await.status, 404);
