--- a/src/coordination/shard/tests/gangs.rs
+++ b/src/coordination/shard/tests/gangs.rs
@@ -437,3 +437,51 @@
     script.pass(second(1));
     assert_eq!(script.shard.jobs()["run-1"].live().len(), 2);
 }
+
+/// A worker that refused a task knows its attempt and starts it no more, so that the
+/// replacement under the same number goes elsewhere, however well it would fit there.
+#[test]
+fn a_refused_task_is_replaced_on_a_machine_that_does_not_know_its_attempt() {
+    let mut script = Script::new(Loaded::default());
+    north(&mut script, &["vm-1", "vm-2"]);
+    script.submit("run-1", gang(2, 8.0));
+    let launches = launched(&mut script);
+    let (stays, refused) = (launches[0].0.clone(), launches[1].0.clone());
+    all_are(&mut script, &stays, TaskState::Waiting, None);
+    all_are(
+        &mut script,
+        &refused,
+        TaskState::Ended,
+        Some(Ending::NoRoom),
+    );
+    // Long enough for another try, and the machine has room again.
+    script.pass(second(1));
+    assert_eq!(launched(&mut script), [], "it would have no effect there");
+    north(&mut script, &["vm-3"]);
+    let again = launched(&mut script);
+    assert_eq!(again, [("vm-3".to_owned(), launches[1].1, launches[1].2)]);
+}
+
+/// After a take-over one task of a gang is seen, and seen to end; the other may be on a
+/// machine that nobody has heard from. No attempt begins beside it.
+#[test]
+fn a_gang_of_which_one_task_may_exist_somewhere_is_not_begun_again() {
+    let mut script = Script::new(Loaded {
+        jobs: vec![("run-1".into(), 5, record(gang(2, 8.0)))],
+        roster: vec![roster("vm-1"), roster("vm-2")],
+        ..Loaded::default()
+    });
+    north(&mut script, &["vm-3", "vm-4"]);
+    let line = |state, ending| vec![listed("run-1/0", 7, state, ending)];
+    script.report("vm-1", line(TaskState::Waiting, None));
+    let ended = Some(Ending::Error);
+    script.report("vm-1", line(TaskState::Ended, ended));
+    for _ in 0..3 {
+        script.pass(second(1));
+        assert!(script.launches().is_empty(), "run-1/1 may be on vm-2");
+        assert!(script.shard.jobs()["run-1"].live().is_empty());
+    }
+    script.report("vm-2", Vec::new());
+    script.pass(second(1));
+    assert_eq!(script.shard.jobs()["run-1"].live().len(), 2);
+}
