--- a/src/coordination/shard/placement.rs
+++ b/src/coordination/shard/placement.rs
@@ -381,6 +381,13 @@
         let Some(job) = self.jobs.get(id) else {
             return (true, u64::MAX, u64::MAX);
         };
+        // A gang that starts late is late as a whole: it goes by its start.
+        let wait = self.policy.wait_within.get(&job.spec.class);
+        let start = wait.filter(|_| job.spec.is_gang());
+        let start = start.map(|within| job.at_ms.saturating_add(within.as_millis() as u64));
+        if let Some(start) = start.filter(|start| *start > wall) {
+            return (false, start, job.at_ms);
+        }
         let run = Duration::from_secs_f64(job.spec.duration_s * SHORTEST_RUN);
         match self.next_due(job, wall + run.as_millis() as u64) {
             Some(due) => (false, due, job.at_ms),
@@ -403,13 +410,8 @@
             .flat_map(|s| multiples.iter().map(move |multiple| s * multiple));
         let within = self.policy.finish_within.get(class);
         let finish = within.map(|within| within.as_secs_f64());
-        // A gang that starts late is late as a whole.
-        let wait = self.policy.wait_within.get(class);
-        let start = wait.filter(|_| job.spec.is_gang());
-        let start = start.map(|within| within.as_secs_f64() + job.spec.duration_s);
         deadlines
             .chain(finish)
-            .chain(start)
             .map(after)
             .filter(|due| *due >= from)
             .min()
--- a/src/coordination/shard/plan.rs
+++ b/src/coordination/shard/plan.rs
@@ -34,6 +34,9 @@
 /// Machines are often up later than usual by this much.
 const BOOT_MARGIN: f64 = 1.2;
 
+/// One that comes too late for a gang is worth so much less: all its tasks wait.
+const LATE_GANG: f64 = 3.0;
+
 /// A machine that comes this much too late is worth half as much.
 const LATE_DOUBLES_S: f64 = 30.0;
 
@@ -145,7 +148,7 @@
             let companions = *companions;
             let mut left = demand.count;
             let spread = demand.spec.tasks.div_ceil(2);
-            let zone = self.gang_zone(&demand, &bins);
+            let zone = self.gang_zone(&demand, &bins, &crowds, now);
             let elsewhere = |at: &str| zone.as_deref().is_some_and(|zone| zone != at);
             let mut per_zone: HashMap<Arc<str>, u32> = HashMap::new();
             for bin in &mut bins {
@@ -228,7 +231,13 @@
 
     /// Where a gang's room is wanted, if it has to be in one zone: where it has
     /// begun, or where there is most of it already.
-    fn gang_zone(&self, demand: &Demand, bins: &[Bin]) -> Option<Arc<str>> {
+    fn gang_zone(
+        &self,
+        demand: &Demand,
+        bins: &[Bin],
+        crowds: &HashMap<(&str, &str), f64>,
+        now: Instant,
+    ) -> Option<Arc<str>> {
         let spec = &demand.spec;
         if !(spec.is_gang() && spec.one_zone && demand.one_job) {
             return None;
@@ -240,7 +249,13 @@
             }
         }
         let most = room.into_iter().max_by_key(|(_, n)| *n);
-        most.filter(|(_, n)| *n > 0).map(|(zone, _)| zone)
+        // With little of it there, where machines come soonest counts more.
+        let most = most.filter(|(_, n)| *n * 2 >= demand.count);
+        let offered = || {
+            let offer = self.best_offer(demand, demand.count, None, crowds, now)?;
+            Some(offer.zone.as_str().into())
+        };
+        most.map(|(zone, _)| zone).or_else(offered)
     }
 
     fn bins(&self, now: Instant) -> Vec<Bin> {
@@ -609,6 +624,9 @@
                     if let Some(slack) = demand.slack_s {
                         let late = (boot * BOOT_MARGIN - slack).max(0.0);
                         cost *= 1.0 + late / LATE_DOUBLES_S;
+                        if late > 0.0 && spec.is_gang() {
+                            cost *= LATE_GANG;
+                        }
                     }
                     // Equal offers are spread over the zones.
                     let there = crowds.get(&(kind.name.as_str(), zone.as_str()));
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -137,7 +137,10 @@
     script.shard.report(&report, script.now);
     script.settle();
     assert!(script.launches().is_empty(), "an older launch may land yet");
-    assert!(script.shard.jobs()["run-1"].live().is_empty(), "nor decided");
+    assert!(
+        script.shard.jobs()["run-1"].live().is_empty(),
+        "nor decided"
+    );
     let report = script.report_of("vm-1", TERM, Vec::new());
     script.answered(&probes[0], CommandOutcome::Executed(report));
     assert_eq!(script.launches().len(), 1);
