--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -291,7 +291,8 @@
         let mut inner = self.lock();
         let known = self.known_up_to(&inner, now);
         let may = known.is_some_and(|known| now < known + self.renewal_bound);
-        if inner.uninformed == may {
+        // Before its first look a controller has nothing to tell.
+        if inner.uninformed == may && known.is_some() {
             inner.uninformed = !may;
             if may {
                 info!("workers are answered again: cancellations are known");
