--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -7,7 +7,7 @@
 use hyper::Method;
 
 use super::lease::{KEEPING, Tenure};
-use super::node::{Keeping, Node, PeerView, STATE_DEADLINE};
+use super::node::{Inner, Keeping, Node, PeerView, STATE_DEADLINE};
 use super::ownership::step_down;
 use super::standing::{self, StandingLoan};
 use crate::protocol::peers::{
@@ -123,7 +123,11 @@
 /// Answers an owner past its deadline: the same promise, given only by a run that
 /// has taken no later term.
 pub fn stand_aside(node: &Node, asked: &StandAside) -> StoodAside {
-    let later = node.lock().latest_term > asked.term;
+    let later = {
+        let inner = node.lock();
+        end_earlier(&inner, asked.term);
+        inner.latest_term > asked.term
+    };
     StoodAside {
         given: !later && promise(node, Duration::from_millis(asked.millis)),
         up_ms: node
@@ -363,6 +367,17 @@
         .collect()
 }
 
+/// A later term than ours means that the record of ours is gone, though the service
+/// may not tell us: the later owner counts on our promise.
+fn end_earlier(inner: &Inner, later: u64) {
+    let own = inner.ownership.as_ref().map(|own| &own.tenure);
+    let superseded = |tenure: &&Arc<Tenure>| tenure.term < later && !tenure.ended();
+    for tenure in own.into_iter().chain(&inner.loading).filter(superseded) {
+        tracing::warn!(term = tenure.term, later, "another owns the shard");
+        tenure.finish();
+    }
+}
+
 /// Notes what a peer says of itself.
 pub fn heard_pulse(node: &Node, mut pulse: Pulse) {
     let at = node.now();
@@ -373,15 +388,8 @@
             .map(|row| (row.job, (row.done, row.running)))
             .collect();
     }
-    // A later term means that the record of ours is gone, though the service may
-    // not tell us: the later owner counts on our promise.
     if let Some(term) = pulse.term {
-        let own = inner.ownership.as_ref().map(|own| &own.tenure);
-        let superseded = |tenure: &&Arc<Tenure>| tenure.term < term && !tenure.ended();
-        for tenure in own.into_iter().chain(&inner.loading).filter(superseded) {
-            tracing::warn!(term = tenure.term, later = term, "another owns the shard");
-            tenure.finish();
-        }
+        end_earlier(&inner, term);
     }
     if let Some(term) = pulse.term
         && inner.owner_heard.is_none_or(|(known, _)| term >= known)
--- a/src/coordination/tests/peering.rs
+++ b/src/coordination/tests/peering.rs
@@ -176,6 +176,13 @@
     assert!(asked(10).given);
     node.lock().acquiring = true;
     assert!(!asked(10).given);
+    // Two owners in turn, both past their deadlines: the later one's question tells
+    // the earlier that its record is gone.
+    node.lock().acquiring = false;
+    let earlier = own(&node, 10);
+    assert!(!asked(9).given && !asked(10).given && !earlier.ended());
+    asked(11);
+    assert!(earlier.ended());
 }
 
 /// An owner that a cut has taken from the state service and all others.
