A worker may go half a lease without a report of its own

After a crash a worker may take 4 s for its open report, a second, and a redirect to find the next owner, beyond the suspect time, and its machine was closed meanwhile though it answered.

--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -205,7 +205,7 @@
         // When much is silent at once, the trouble is more likely ours.
         let many = silent > 1 && silent * 3 > expected.len();
         // The same for those that answer, but whose own reports don't come.
-        let mute = |m: &Machine| m.heard.is_some() && m.mute_for(now) >= self.policy.suspect;
+        let mute = |m: &Machine| m.heard.is_some() && m.mute_for(now) >= self.policy.mute_after();
         let much_mute = expected.iter().filter(|m| mute(m)).count();
         let many_mute = much_mute > 1 && much_mute * 3 > expected.len();
         let soon = self.policy.report.mul_f64(1.4);
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -328,7 +328,7 @@
             && self.notice.is_none()
             && !self.vanished
             && self.silence(now) < policy.suspect
-            && self.mute_for(now) < policy.suspect
+            && self.mute_for(now) < policy.mute_after()
             && self.tally.unknown == 0
     }
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -170,6 +170,12 @@
         self.teams.values().any(|team| team.cores > 0.0)
     }
 
+    /// How long a worker that answers may go without a report of its own. One whose
+    /// owner has just ended takes its time to find the next.
+    pub fn mute_after(&self) -> Duration {
+        self.suspect.max(self.worker_lease / 2)
+    }
+
     /// How long after our last answer left a worker's lease has surely ended:
     /// its own clock may run slow, and ours fast.
     pub fn lease_surely_over(&self) -> Duration {
