--- a/src/coordination/awareness.rs
+++ b/src/coordination/awareness.rs
@@ -29,8 +29,7 @@
 pub struct Awareness {
     /// When the last look at the jobs was sent.
     looked: Option<Instant>,
-    /// By controller: the moment up to which all that it told is known, and the
-    /// run of its process that said so.
+    /// By controller: the moment up to which all that it told is known by its word.
     words: HashMap<String, Instant>,
 }
 
--- a/src/coordination/io.rs
+++ b/src/coordination/io.rs
@@ -239,13 +239,7 @@
             error!(job, "the record of a finished job can't be read");
             return;
         };
-        let most = node
-            .settings
-            .platform
-            .settings
-            .state
-            .planned()
-            .value_bytes();
+        let most = node.value_bytes();
         let last = FinalRecord::new(Stage::Done, record.spec).within(most);
         let Ok(txn) = facts::end_job(job, mark, &last) else {
             return;
--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -303,6 +303,16 @@
         may
     }
 
+    /// The most that a value may take, now and under the limits to come.
+    pub fn value_bytes(&self) -> usize {
+        self.settings
+            .platform
+            .settings
+            .state
+            .planned()
+            .value_bytes()
+    }
+
     pub fn label(&self) -> &str {
         &self.settings.platform.label
     }
--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -662,13 +662,7 @@
 
 /// Takes as many reports of kept workers as fit on a page.
 fn next_reports(node: &Node) -> Vec<Report> {
-    let room = node
-        .settings
-        .platform
-        .settings
-        .state
-        .planned()
-        .value_bytes();
+    let room = node.value_bytes();
     let mut reports = Vec::new();
     let mut bytes = INVENTORY_FRAME;
     let mut inner = node.lock();
--- a/src/coordination/requests.rs
+++ b/src/coordination/requests.rs
@@ -271,13 +271,7 @@
         spec,
     };
     let value = serde_json::to_value(&record).map_err(|e| StateError::Unexpected(e.to_string()))?;
-    let most = node
-        .settings
-        .platform
-        .settings
-        .state
-        .planned()
-        .value_bytes();
+    let most = node.value_bytes();
     if value.to_string().len() > most {
         // It may have been accepted while the limits were larger.
         let known = poll(node, id).await?;
@@ -412,13 +406,7 @@
         };
         let record: JobRecord = serde_json::from_value(item.value)
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
-        let most = node
-            .settings
-            .platform
-            .settings
-            .state
-            .planned()
-            .value_bytes();
+        let most = node.value_bytes();
         let last = FinalRecord::new(Stage::Cancelled, record.spec).within(most);
         let txn = facts::end_job(id, item.version, &last)
             .map_err(|e| StateError::Unexpected(e.to_string()))?;
--- a/src/coordination/shard/gang.rs
+++ b/src/coordination/shard/gang.rs
@@ -12,7 +12,7 @@
 
 use super::placement::{Pass, Slot, allowed};
 use super::{Job, Machine, Phase, Shard};
-use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::users::JobSpec;
 use crate::protocol::{JobId, MachineId, TaskId};
 
 /// Share of the time that tasks wait for one another within which one that was lost
@@ -344,10 +344,3 @@
 fn suits(spec: &JobSpec, slot: &Slot) -> bool {
     allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
 }
-
-impl JobSpec {
-    /// Whether all its tasks run at the same time or none does.
-    pub fn is_gang(&self) -> bool {
-        self.kind == JobKind::Gang
-    }
-}
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether all its tasks run at the same time or none does.
+    pub fn is_gang(&self) -> bool {
+        self.kind == JobKind::Gang
+    }
+
     /// The owner's estimate of a task's run time.
     pub fn duration(&self) -> Duration {
         Duration::from_secs_f64(self.duration_s.min(1e9))
