--- a/src/coordination/peering.rs
+++ b/src/coordination/peering.rs
@@ -245,7 +245,8 @@
     }
 }
 
-async fn ask_for_word(node: Arc<Node>, peer: Peer, after: u64) {
+/// Asks one controller what it told users since a revision.
+pub async fn ask_for_word(node: Arc<Node>, peer: Peer, after: u64) {
     let sent = node.now();
     let frame = CancellationsAsked { after }.encode();
     let answer = node
--- a/tests/trial/meetings.rs
+++ b/tests/trial/meetings.rs
@@ -1,6 +1,7 @@
 //! Controllers against a state service that carries transactions out late, and
 //! against one another.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,12 +9,15 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use valegap::clock::SteadyClock;
+use valegap::coordination::awareness;
 use valegap::coordination::io::carry_out;
 use valegap::coordination::lease::Tenure;
 use valegap::coordination::node::Node;
+use valegap::coordination::peering::{all_promise, all_stand_aside, ask_for_word};
 use valegap::coordination::requests::{Ask, Reply, answer};
 use valegap::coordination::shard::{Action, ShardWrite};
 use valegap::protocol::cloud::MachineType;
+use valegap::protocol::peers::{PeerAnswer, PeerRequest, decode_request, encode_answer};
 use valegap::protocol::state::{Change, Txn};
 use valegap::protocol::users::{Stage, parse_submission};
 use valegap::settings::{Operator, Platform, Settings};
@@ -26,10 +30,15 @@
 const USERS_WAIT: Duration = Duration::from_secs(5);
 
 /// A controller that knows the machine types, without loops of its own.
-fn controller(label: &str, state: std::net::SocketAddr) -> Arc<Node> {
+fn controller(label: &str, state: SocketAddr) -> Arc<Node> {
+    among(label, state, json!([]))
+}
+
+/// The same among others.
+fn among(label: &str, state: SocketAddr, others: Value) -> Arc<Node> {
     let settings = json!({
         "label": label, "area": "north", "front": "127.0.0.1:0", "internal_addr": "127.0.0.1:0",
-        "others": [], "services": { "cloud": "127.0.0.1:1", "state": state },
+        "others": others, "services": { "cloud": "127.0.0.1:1", "state": state },
         "settings": {
             "zones": ["north"],
             "teams": [{ "name": "red", "cpus": 0, "cpus_max": 8, "gpus": 0, "gpus_max": 0 }],
@@ -290,3 +299,41 @@
         assert_eq!(reply.status, 503);
     }
 }
+
+/// A controller of the version in production, as far as others see it: it answers the
+/// frames that it knows, and 404 at paths that it doesn't.
+async fn older_controller() -> SocketAddr {
+    let answer = |body: axum::body::Bytes| async move {
+        encode_answer(&match decode_request(&body) {
+            Some(PeerRequest::Promise { .. }) => PeerAnswer::Promise { given: true },
+            _ => PeerAnswer::Unreadable,
+        })
+    };
+    let routes = axum::Router::new().route("/peer", axum::routing::post(answer));
+    crate::support::serve(routes).await
+}
+
+/// Beside an older controller an owner goes on by its promises, but no guarantee rests
+/// on what it can't say: it neither speaks for what it told users nor stands aside.
+#[tokio::test]
+async fn an_older_controller_promises_and_says_nothing_more() {
+    let older = older_controller().await;
+    let others = json!([{ "label": "n1", "area": "north", "address": older }]);
+    let node = among("n0", "127.0.0.1:1".parse().expect("an address"), others);
+    let _ = node.state.get("o/0/owner", DEADLINE).await;
+    let now = Instant::now();
+    let time = Duration::from_secs(1);
+    let tenure = Tenure::new(1, 9, now, now + time, now);
+    assert!(all_promise(&node, time).await);
+    assert!(!all_stand_aside(&node, &tenure, time).await);
+    // Its answers end with the bound after its own last look.
+    let bound = awareness::bound(&node.settings);
+    node.lock().awareness.looked(now);
+    ask_for_word(node.clone(), node.settings.platform.others[0].clone(), 0).await;
+    assert!(
+        node.lock().older.contains_key("n1"),
+        "logged, and left alone for a while"
+    );
+    assert!(node.may_renew_leases(now + bound - DEADLINE));
+    assert!(!node.may_renew_leases(now + bound));
+}
