A new owner doesn't wait for the reports of machines that answer

The time without a report of its own was counted from when the cloud says that a machine was rented, so that after a take-over machines that had answered stayed closed until their workers found the new owner. It counts from when the machine is on our books.

--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -194,6 +194,8 @@
     pub admission_asked: bool,
     /// Last message of its worker that reached us.
     pub heard: Option<Instant>,
+    /// Since when it is on our books.
+    pub known: Instant,
     /// When a report that came by itself last renewed its worker's lease.
     pub renewed: Option<Instant>,
     /// Its worker's lease has surely ended after this.
@@ -253,6 +255,7 @@
             admitted: false,
             admission_asked: false,
             heard: None,
+            known: now,
             renewed: None,
             lease_over,
             notice: None,
@@ -311,7 +314,7 @@
     /// For how long its worker has not reported by itself. It may still answer
     /// what it is asked, but only its reports renew its lease.
     pub fn mute_for(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.renewed.unwrap_or(self.rented))
+        now.saturating_duration_since(self.renewed.unwrap_or(self.known))
     }
 
     /// Whether new tasks may be started on it.
--- a/src/coordination/shard/tests/meetings.rs
+++ b/src/coordination/shard/tests/meetings.rs
@@ -5,6 +5,7 @@
 use super::script::{Script, TERM, listed, obey, one_old_job, roster, stops};
 use super::world::{record, spec};
 use crate::coordination::shard::{CommandOutcome, Loaded, ReportOutcome};
+use crate::protocol::cloud::{Listed, ListedState};
 use crate::protocol::users::{JobSpec, Stage};
 use crate::protocol::workers::{Command, Ending, TaskState};
 
@@ -98,6 +99,28 @@
     assert!(!script.machine("vm-2").deleting);
 }
 
+/// After a take-over a machine that answers gets work at once: its worker takes a while
+/// to find the new owner, however long ago the cloud says that it was rented.
+#[test]
+fn a_new_owner_does_not_wait_for_the_reports_of_machines_that_answer() {
+    let mut script = Script::new(one_old_job(1, &["vm-1"]));
+    let listed = Listed {
+        id: "vm-1".into(),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "m8".into(),
+        zone: "north".into(),
+        spot: false,
+        state: ListedState::Running,
+        age_s: 300.0,
+    };
+    script.shard.listed(&[listed], script.now);
+    for batch in script.batches() {
+        let report = script.report_of(&batch.0, TERM, Vec::new());
+        script.answered(&batch, CommandOutcome::Executed(report));
+    }
+    assert_eq!(script.launches().len(), 1);
+}
+
 /// The same with a task on it: it counts until the worker's lease is over, counted
 /// from the last report that was answered, whatever direct answers show since.
 #[test]
