Jobs that fail everywhere cost no machines and few tries

Cause: a machine was given up once any two jobs had failed on it, and each job counted as evidence until it had failed on three machines; a job's pause grew with each failed task, so that one faulty machine stopped a sound job for a minute, while a broken array came back with all of its tasks at once. Jobs and machines are judged against one another now (shard/failures.rs): failures that were under way together count as one round, a job that failed on three machines without a success is tried two tasks at a time at pauses that double up to a minute, with jitter; it rents nothing beyond a try, holds no guarantee's room and makes nothing give way. A machine gets no new tasks while two jobs' failures are unexplained, and is given up when two jobs that succeeded elsewhere failed there.

--- a/src/coordination/shard/gang.rs
+++ b/src/coordination/shard/gang.rs
@@ -247,7 +247,7 @@
                 ended.any(|((_, take), a)| *take == job.gang.take && a.ended())
             })
         };
-        let avoid = job.failed_on.len() < pass.slots.len();
+        let avoid = job.failures.machines() < pass.slots.len();
         let mut order: Vec<((bool, bool, bool), u32, usize)> = Vec::new();
         for (at, slot) in pass.slots.iter().enumerate() {
             let fits = slot.room_for(spec);
@@ -255,7 +255,7 @@
                 && suits(spec, slot)
                 && self.worth_it(job, slot)
                 && zone.is_none_or(|zone| *zone == *slot.zone)
-                && !(avoid && job.failed_on.contains(&slot.id))
+                && !(avoid && job.failures.includes(&slot.id))
                 && (job.gang.take == 0 || !spent(&slot.id))
             {
                 let lacks = pass.lacks_image(spec, at);
--- a/src/coordination/shard/jobs.rs
+++ b/src/coordination/shard/jobs.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::failures::FailureHistory;
 use super::slowness::RunTimes;
 use super::{Action, GangAttempt, Shard};
 use crate::protocol::users::{JobKind, JobSpec, Stage};
@@ -11,9 +12,6 @@
 use crate::storage::records::{FinalRecord, JobRecord};
 use crate::storage::task_set::TaskSet;
 
-/// Longest pause between the tries of a job that fails everywhere.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(60);
-
 /// How many of a job's tasks are done and running, for display.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct TaskCounts {
@@ -42,10 +40,8 @@
     /// Tasks that are both: they ended as done while another attempt of them
     /// may still exist.
     both: u32,
-    /// Where tasks failed, to be avoided.
-    pub failed_on: BTreeSet<MachineId>,
-    /// How often in a row a task of it failed.
-    pub failures: u32,
+    /// Its failed attempts.
+    pub failures: FailureHistory,
     /// Until when none of its tasks is started.
     pub not_before: Option<Instant>,
     /// Run times of its completed tasks, for comparing machines.
@@ -74,8 +70,7 @@
             live: HashMap::new(),
             nowhere: BTreeSet::new(),
             both: 0,
-            failed_on: BTreeSet::new(),
-            failures: 0,
+            failures: FailureHistory::default(),
             not_before: None,
             ran: RunTimes::default(),
             over: None,
@@ -186,18 +181,6 @@
             None => u64::MAX,
         }
     }
-
-    /// Notes that a task failed by itself.
-    pub fn failed(&mut self, machine: &MachineId, now: Instant) {
-        self.failed_on.insert(machine.clone());
-        self.failures += 1;
-        let pause = Duration::from_millis(500) * (1 << self.failures.min(8));
-        // A single failure is most likely the machine's fault: try elsewhere
-        // at once.
-        if self.failures > 1 {
-            self.not_before = Some(now + pause.min(LONGEST_BACKOFF));
-        }
-    }
 }
 
 impl Shard {
@@ -264,6 +247,7 @@
             );
         }
         let id = job.id.clone();
+        self.withdraw_evidence(&id);
         self.close_attempts_of(&id);
         self.needs_pass = true;
         self.drop_job_if_empty(&id);
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{MachineLoad, Policy};
+use super::{FailureEvidence, MachineLoad, Policy};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::Ending;
@@ -34,6 +34,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// How far it is.
     pub phase: Phase,
+    /// When it was decided, or first seen.
+    pub began: Instant,
     /// Since when it is in this phase.
     pub since: Instant,
     /// When it was first seen running.
@@ -61,6 +63,7 @@
         Self {
             spec,
             phase,
+            began: now,
             since: now,
             running_since: None,
             adopted: false,
@@ -228,8 +231,8 @@
     pub rented: Instant,
     /// Since when nothing has run on it.
     pub idle_since: Option<Instant>,
-    /// Jobs that failed on it by error.
-    pub errors: Vec<JobId>,
+    /// Jobs that failed on it.
+    pub failures: FailureEvidence,
     /// Tasks that ran far longer on it than their kin elsewhere.
     pub slow_tasks: u32,
     /// Gets no new tasks and is given back when empty.
@@ -284,7 +287,7 @@
             images: Vec::new(),
             rented: now,
             idle_since: None,
-            errors: Vec::new(),
+            failures: FailureEvidence::default(),
             slow_tasks: 0,
             condemned: false,
             draining: false,
@@ -348,6 +351,7 @@
             && !self.commands_fail
             && !self.deleting
             && !self.condemned
+            && !self.failures.quarantines(now)
             && !self.draining
             && self.notice.is_none()
             && !self.vanished
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -7,6 +7,7 @@
 mod commands;
 mod delegations;
 mod drain;
+mod failures;
 mod fleet;
 mod gang;
 mod jobs;
@@ -25,6 +26,7 @@
 
 pub use cluster::{Loaded, LoadedMachine};
 pub use delegations::delegate_commands;
+pub use failures::{FailureEvidence, FailureHistory};
 pub use fleet::RentalOutcome;
 pub use gang::GangAttempt;
 pub use jobs::{Job, TaskCounts};
@@ -165,6 +167,7 @@
         if self.counted.is_none_or(due) {
             self.counted = Some(now);
             self.count_running();
+            self.note_outliving_tasks(now);
             self.find_slow_machines(now);
         }
         self.probe_unsynced(now);
@@ -259,7 +262,8 @@
 
     /// Whether work waits that may be placed, or machines are unaccounted for.
     pub fn is_busy(&self) -> bool {
-        !self.unresolved.is_empty() || self.jobs.values().any(|job| job.waiting() > 0)
+        let waits = |job: &Job| job.waiting() > 0 && !job.is_suspect();
+        !self.unresolved.is_empty() || self.jobs.values().any(waits)
     }
 
     /// Which zones are likely cut off from us.
--- a/src/coordination/shard/placement/choice.rs
+++ b/src/coordination/shard/placement/choice.rs
@@ -53,7 +53,7 @@
             None
         };
         let per_zone = spec.tasks.div_ceil(2);
-        let avoid = !job.failed_on.is_empty() && job.failed_on.len() < pass.slots.len();
+        let avoid = job.failures.machines() < pass.slots.len();
         // Where capacity is held for guarantees anyway, work is spread, so that
         // losing a machine stops little and images are held in many places;
         // elsewhere it is packed, so that machines can be given back.
@@ -79,7 +79,7 @@
                 && !(stays && slot.barren)
                 && one_zone.as_ref().is_none_or(|zone| *zone == slot.zone)
                 && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
-                && !(avoid && job.failed_on.contains(&slot.id));
+                && !(avoid && job.failures.includes(&slot.id));
             if !fits {
                 continue;
             }
@@ -125,7 +125,7 @@
                     && allowed(spec, &slot.machine_type, &slot.zone, slot.spot)
                     && (!spec.scatter || zones.get(&slot.zone).copied().unwrap_or(0) < per_zone)
                     && (!spec.one_zone || zones.is_empty() || zones.contains_key(&slot.zone))
-                    && !job.failed_on.contains(&slot.id)
+                    && !job.failures.includes(&slot.id)
                     && could_hold(slot)
             })
     }
--- a/src/coordination/shard/placement/mod.rs
+++ b/src/coordination/shard/placement/mod.rs
@@ -52,6 +52,10 @@
     /// unaccounted for, those that were on machines we knew of: no earlier owner
     /// can have started them elsewhere.
     pub(super) fn placeable(&self, job: &Job) -> u32 {
+        self.startable(job).min(job.tries_left())
+    }
+
+    fn startable(&self, job: &Job) -> u32 {
         if self.placement_known(job) {
             job.waiting()
         } else if job.spec.one_zone && job.unaccounted() > 0 {
@@ -111,7 +115,7 @@
     /// A queue for each team, in the order in which its jobs go.
     fn queues(&self, teams: JobsByTeam, wall: u64) -> HashMap<String, VecDeque<JobId>> {
         let queue = |(team, mut ids): (String, Vec<JobId>)| {
-            ids.sort_by_key(|id| self.queue_key(id, wall));
+            ids.sort_by_cached_key(|id| self.jobs.get(id).map(|job| self.queue_key(job, wall)));
             (team, ids.into())
         };
         teams.into_iter().map(queue).collect()
@@ -141,7 +145,9 @@
             let left = self.jobs.get(&id).map_or(0, |job| self.placeable(job));
             if placed == 0 || left == 0 {
                 queue.pop_front();
-                if left > 0 {
+                // Nothing gives way to a job that fails everywhere.
+                let suspect = self.jobs.get(&id).is_some_and(Job::is_suspect);
+                if left > 0 && !suspect {
                     tally.stuck.push(id);
                 }
             }
@@ -177,6 +183,7 @@
                 let age = Duration::from_millis(wall.saturating_sub(job.at_ms));
                 age > STARVING
                     && !job.spec.is_gang()
+                    && !job.is_suspect()
                     && job.waiting() > 0
                     && job.live().is_empty()
                     && job.done().is_empty()
@@ -185,7 +192,7 @@
             })
             .map(|job| job.id.clone())
             .collect();
-        starving.sort_by_key(|id| self.queue_key(id, wall));
+        starving.sort_by_cached_key(|id| self.jobs.get(id).map(|job| self.queue_key(job, wall)));
         for id in starving.into_iter().take(MOST_HELD) {
             if self.place_some(&id, 1, pass, now) == 0 {
                 self.hold_for(&id, pass);
--- a/src/coordination/shard/placement/queue.rs
+++ b/src/coordination/shard/placement/queue.rs
@@ -10,24 +10,41 @@
 /// Run times are often overestimated by this much.
 const SHORTEST_RUN: f64 = 0.5;
 
+/// A job's place among those of its priority; what comes first is less.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(in crate::coordination::shard) struct QueueKey {
+    /// It can make none of its times any more.
+    too_late: bool,
+    /// The next time that it can make, in time of day.
+    due_ms: u64,
+    accepted_ms: u64,
+}
+
+impl QueueKey {
+    fn new(too_late: bool, due_ms: u64, job: &Job) -> Self {
+        Self {
+            too_late,
+            due_ms,
+            accepted_ms: job.at_ms,
+        }
+    }
+}
+
 impl Shard {
     /// Jobs go by the next time that they can still make; those that can make
     /// none come last.
-    pub(super) fn queue_key(&self, id: &JobId, wall: u64) -> (bool, u64, u64) {
-        let Some(job) = self.jobs.get(id) else {
-            return (true, u64::MAX, u64::MAX);
-        };
+    pub(in crate::coordination::shard) fn queue_key(&self, job: &Job, wall: u64) -> QueueKey {
         // A gang that starts late is late as a whole: it goes by its start.
         let wait = self.policy.wait_within.get(&job.spec.class);
         let start = wait.filter(|_| job.spec.is_gang());
         let start = start.map(|within| job.at_ms.saturating_add(within.as_millis() as u64));
         if let Some(start) = start.filter(|start| *start > wall) {
-            return (false, start, job.at_ms);
+            return QueueKey::new(false, start, job);
         }
         let run = Duration::from_secs_f64(job.spec.duration_s * SHORTEST_RUN);
         match self.next_due(job, wall + run.as_millis() as u64) {
-            Some(due) => (false, due, job.at_ms),
-            None => (job.due_ms() < wall, job.due_ms(), job.at_ms),
+            Some(due) => QueueKey::new(false, due, job),
+            None => QueueKey::new(job.due_ms() < wall, job.due_ms(), job),
         }
     }
 
--- a/src/coordination/shard/plan/demand.rs
+++ b/src/coordination/shard/plan/demand.rs
@@ -30,9 +30,6 @@
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
 
-/// A job whose tasks failed more often in a row than this is no reason to rent.
-const MOST_FAILURES: u32 = 3;
-
 /// A job with less of its run time left than this share can't wait for spot machines.
 const PATIENT_RUN_SHARE: f64 = 0.5;
 
@@ -84,7 +81,7 @@
             usage: used.clone(),
             core_seconds: 0.0,
         };
-        for job in self.waiting_jobs() {
+        for job in self.waiting_jobs(wall) {
             let Some(count) = self.enqueue(job, &mut queue) else {
                 continue;
             };
@@ -115,17 +112,20 @@
     }
 
     /// The jobs that tasks wait of, in the order in which they get room.
-    fn waiting_jobs(&self) -> Vec<&Job> {
-        let waits = |job: &&Job| job.waiting() > 0 && job.failures <= MOST_FAILURES;
+    fn waiting_jobs(&self, wall: u64) -> Vec<&Job> {
+        let waits = |job: &&Job| {
+            let gives_up = job.spec.is_gang() && job.is_suspect();
+            job.waiting().min(job.tries_left()) > 0 && !gives_up
+        };
         let mut jobs: Vec<&Job> = self.jobs.values().filter(waits).collect();
-        jobs.sort_by_key(|job| (Reverse(job.spec.priority), job.due_ms(), job.at_ms));
+        jobs.sort_by_cached_key(|job| (Reverse(job.spec.priority), self.queue_key(job, wall)));
         jobs
     }
 
     /// Counts a job's waiting tasks as far as its team's limit lets them run; None for
     /// a gang that would run in part.
     fn enqueue(&self, job: &Job, queue: &mut Queue) -> Option<u32> {
-        let waiting = job.waiting().min(MOST_FORESEEN);
+        let waiting = job.waiting().min(job.tries_left()).min(MOST_FORESEEN);
         let mut count = 0;
         while count < waiting && self.within_limit(&queue.usage, &job.spec) {
             queue.usage.add(&job.spec, 1);
@@ -299,7 +299,9 @@
 
     /// Notes which teams have unfinished jobs.
     fn note_work(&mut self, now: Instant) {
-        let unfinished = self.jobs.values().filter(|job| job.over.is_none());
+        let unfinished = self.jobs.values();
+        // A job that fails everywhere has no use for more room than a try takes.
+        let unfinished = unfinished.filter(|job| job.over.is_none() && !job.is_suspect());
         let teams: BTreeSet<&str> = unfinished.map(|job| &*job.spec.team).collect();
         for team in teams {
             self.fleet.note_work(team, now);
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -8,9 +8,6 @@
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
 use crate::protocol::{MachineId, TaskId};
 
-/// How many different jobs must fail on a machine before it is given up.
-const ERRORS_TO_CONDEMN: usize = 2;
-
 /// Pause before a machine that sends old numbers is asked again.
 const ASK_AGAIN: Duration = Duration::from_secs(2);
 
@@ -296,6 +293,7 @@
             return;
         };
         let asked = attempt.stop.is_some();
+        let began = attempt.began;
         let typical = !attempt.overdue && !attempt.adopted;
         let ran = attempt
             .running_since
@@ -314,6 +312,7 @@
                 // will hear again, since their machine was lost at that moment.
                 self.writes.progress_changed(now);
                 let job = job.id.clone();
+                self.task_succeeded(&job);
                 self.gang_task_done(&job);
             }
             Ending::Done => {
@@ -321,21 +320,11 @@
                 if let Some(ran) = ran.filter(|_| typical) {
                     job.ran.note(ran);
                 }
-                job.failures = 0;
-                job.not_before = None;
                 self.writes.progress_changed(now);
+                self.task_succeeded(&task.job);
             }
-            Ending::Error if !asked => {
-                job.failed(id, now);
-                // A job that fails everywhere says nothing about machines.
-                let suspicious = job.failed_on.len() > 2 && job.done().is_empty();
-                if !suspicious && !machine.errors.contains(&job.id) {
-                    machine.errors.push(job.id.clone());
-                    if machine.errors.len() >= ERRORS_TO_CONDEMN && !machine.condemned {
-                        machine.condemned = true;
-                        tracing::info!(machine = %id, "machine given up: tasks of several jobs failed on it");
-                    }
-                }
+            Ending::Error if !asked && job.over.is_none() => {
+                self.attempt_failed(&task.job, id, began, ran.unwrap_or_default(), now);
             }
             Ending::NoRoom | Ending::Busy | Ending::Unknown | Ending::Other => {
                 job.not_before = Some(now + Duration::from_millis(500));
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine on a fake clock, with scripted peers and in a random
 //! world.
 
+mod failures;
 mod gang_troubles;
 mod gangs;
 mod idle;
