Best-effort work rents no full-price machines after ten minutes

Best-effort work that has begun waits for an hour now; its first start still comes within four minutes.

--- a/src/coordination/shard/plan/demand.rs
+++ b/src/coordination/shard/plan/demand.rs
@@ -9,7 +9,7 @@
 use crate::coordination::shard::placement::Usage;
 use crate::coordination::shard::{Job, Shard};
 use crate::protocol::JobId;
-use crate::protocol::users::{JobKind, JobSpec};
+use crate::protocol::users::{JobKind, JobSpec, Priority};
 
 /// Waiting tasks of one job that a plan looks at.
 const MOST_FORESEEN: u32 = 5000;
@@ -27,6 +27,9 @@
 /// The same for the rest of such work once some of it has begun.
 const LONGEST_UNTIMED: Duration = Duration::from_secs(600);
 
+/// The same for best-effort work, which fills what is there and pays for nothing dearer.
+const LONGEST_BEST_EFFORT: Duration = Duration::from_secs(3600);
+
 /// Work with less time than this to its latest start isn't kept waiting.
 const PATIENT_ENOUGH_S: f64 = 30.0;
 
@@ -365,10 +368,10 @@
 /// end.
 fn untimed_slack(job: &Job, wall: u64) -> f64 {
     let age = wall.saturating_sub(job.at_ms) as f64 / 1e3;
-    let longest = if begun(job) {
-        LONGEST_UNTIMED
-    } else {
-        LONGEST_WAIT
+    let longest = match job.spec.priority {
+        _ if !begun(job) => LONGEST_WAIT,
+        Priority::BestEffort => LONGEST_BEST_EFFORT,
+        _ => LONGEST_UNTIMED,
     };
     longest.as_secs_f64() * PATIENCE - age
 }
