Plans go by how long machines took to come up lately

Cause, by reading: a machine counted as coming for twice the usual boot, was then rented again, and given back after four boots and 30 s; where all boots are many times slower, none would ever have come up, and each wait was paid three times. Boot times are kept by type and zone (shard/boot_times.rs): what was seen lately, and the ages of machines that are overdue where none comes up. Late kinds are waited for longer, counted as ready later and are dearer to the plan; work that can't wait is planned elsewhere.

--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::boot_times::BootTimes;
 use super::{Action, Machine, Shard};
 use crate::protocol::MachineId;
 use crate::protocol::cloud::{Listed, ListedState, Rental};
@@ -115,6 +116,8 @@
 pub struct Fleet {
     pub(super) bookings: BTreeMap<String, Booking>,
     refused: HashMap<MachineKind, Refusal>,
+    /// How long new machines take to come up.
+    pub(super) boot_times: BootTimes,
     next_booking: u64,
     last_plan: Option<Instant>,
     pub(super) classes: BTreeMap<String, ClassHistory>,
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -3,6 +3,7 @@
 //! Events come in through the methods of [`Shard`]; what has to be done
 //! outside comes out as [`Action`]s. Nothing here waits or talks.
 
+mod boot_times;
 mod cluster;
 mod commands;
 mod delegations;
--- a/src/coordination/shard/plan/capacity.rs
+++ b/src/coordination/shard/plan/capacity.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::boot_s;
 use super::startup;
 use crate::coordination::shard::fleet::PLAN_EVERY;
 use crate::coordination::shard::machines::Amounts;
@@ -63,7 +62,7 @@
 
 impl Capacity {
     /// A machine that is asked for, or will be.
-    pub(super) fn to_come(kind: &MachineType, zone: &str, spot: bool) -> Self {
+    pub(super) fn to_come(kind: &MachineType, zone: &str, spot: bool, ready_in_s: f64) -> Self {
         Self {
             machine: None,
             machine_type: kind.name.as_str().into(),
@@ -74,7 +73,7 @@
             costly: !spot,
             used: false,
             readiness: Readiness::Coming,
-            ready_in_s: boot_s(kind),
+            ready_in_s,
         }
     }
 
@@ -137,8 +136,14 @@
             let Some(kind) = self.types.get(&rental.machine_type) else {
                 continue;
             };
+            let ready_in_s = self.boot_s(kind, &rental.zone, now);
             for _ in 0..rental.count {
-                capacities.push(Capacity::to_come(kind, &rental.zone, rental.spot));
+                capacities.push(Capacity::to_come(
+                    kind,
+                    &rental.zone,
+                    rental.spot,
+                    ready_in_s,
+                ));
             }
         }
         capacities.sort_by(|a, b| {
@@ -159,7 +164,8 @@
         let coming = machine.heard.is_none() && !machine.admitted;
         if coming {
             let age = now.saturating_duration_since(machine.rented);
-            if age > startup(kind).mul_f64(LATEST_START) + LATEST_START_MARGIN {
+            let usual = startup(kind).mul_f64(self.boot_slowness(machine, now));
+            if age > usual.mul_f64(LATEST_START) + LATEST_START_MARGIN {
                 return None;
             }
         } else if machine.heard.is_some() && machine.silence(now) > self.policy.suspect {
@@ -167,7 +173,7 @@
         }
         let ready_in_s = if coming {
             let age = now.saturating_duration_since(machine.rented);
-            (boot_s(kind) - age.as_secs_f64()).max(0.0)
+            (self.boot_s(kind, &machine.zone, now) - age.as_secs_f64()).max(0.0)
         } else {
             0.0
         };
@@ -191,6 +197,26 @@
         })
     }
 
+    /// Takes in which machines are not up though they should be.
+    pub(super) fn note_overdue_boots(&mut self, now: Instant) {
+        let coming = self.machines.values().filter(|machine| {
+            machine.heard.is_none() && !machine.admitted && !self.is_leaving(machine)
+        });
+        let overdue = coming.filter_map(|machine| {
+            let kind = self.types.get(&*machine.machine_type)?;
+            let age = now.saturating_duration_since(machine.rented);
+            let usual = startup(kind);
+            let late = age > usual.mul_f64(LATEST_START) + LATEST_START_MARGIN;
+            let ratio = age.as_secs_f64() / usual.as_secs_f64().max(1.0);
+            late.then(|| (machine.machine_type.clone(), machine.zone.clone(), ratio))
+        });
+        let overdue: Vec<(Arc<str>, Arc<str>, f64)> = overdue.collect();
+        let overdue = overdue
+            .iter()
+            .map(|(kind, zone, age)| (&**kind, &**zone, *age));
+        self.fleet.boot_times.note_overdue(overdue, now);
+    }
+
     /// Whether a machine is on its way out, or can't be reached.
     fn is_leaving(&self, machine: &Machine) -> bool {
         machine.deleting
--- a/src/coordination/shard/plan/mod.rs
+++ b/src/coordination/shard/plan/mod.rs
@@ -12,9 +12,9 @@
 use demand::{Demand, OfferFilter};
 use offer::{Crowds, Offer};
 
-use super::Shard;
 use super::fleet::{MOST_PER_RENTAL, MachineKind};
 use super::placement::allowed;
+use super::{Machine, Shard};
 use crate::protocol::JobId;
 use crate::protocol::cloud::MachineType;
 
@@ -67,7 +67,8 @@
 
     /// Plans to rent a machine; returns how many tasks have room on it.
     fn rent(&mut self, offer: &Offer, demand: &Demand, left: u32) -> u32 {
-        let mut capacity = Capacity::to_come(&offer.kind, &offer.zone, offer.spot);
+        let mut capacity =
+            Capacity::to_come(&offer.kind, &offer.zone, offer.spot, offer.ready_in_s);
         let tasks = capacity.free.fits(&demand.spec).min(left);
         if tasks == 0 {
             return 0;
@@ -88,6 +89,7 @@
 impl Shard {
     /// Compares the room that is wanted with the room there is.
     pub(super) fn plan(&mut self, now: Instant) {
+        self.note_overdue_boots(now);
         let capacities = self.capacities(now);
         self.note_cores(&capacities);
         let demands = self.demands(&capacities, now);
@@ -141,13 +143,30 @@
 
     /// Within how many seconds a machine has to be up for a demand to count on it. A gang
     /// starts with the last of its machines: one that comes too late is better left to
-    /// others if one that is rented now would come sooner.
+    /// others if one that is rented now would come sooner. So it is for all work where
+    /// machines come much later than usual.
     fn latest_s(&self, demand: &Demand, zone: Option<&str>, plan: &Plan, now: Instant) -> f64 {
-        let Some(slack) = demand.slack_s.filter(|_| demand.spec.is_gang()) else {
+        let boots = &self.fleet.boot_times;
+        let matters = demand.spec.is_gang() || boots.in_trouble(now);
+        let Some(slack) = demand.slack_s.filter(|_| matters) else {
             return f64::INFINITY;
         };
         let offer = self.best_offer(demand, demand.count, zone, &plan.crowds, now);
-        offer.map_or(f64::INFINITY, |offer| slack.max(boot_s(&offer.kind)))
+        let soonest = offer.map_or(f64::INFINITY, |offer| offer.ready_in_s);
+        slack.max(soonest)
+    }
+
+    /// How many times longer than usual a machine that is not up yet takes.
+    pub(super) fn boot_slowness(&self, machine: &Machine, now: Instant) -> f64 {
+        let boots = &self.fleet.boot_times;
+        boots.slowness(&machine.machine_type, &machine.zone, now)
+    }
+
+    /// Seconds until a machine that is rented now is up, if it takes as long as it often
+    /// does, and has lately.
+    fn boot_s(&self, kind: &MachineType, zone: &str, now: Instant) -> f64 {
+        let slowness = self.fleet.boot_times.slowness(&kind.name, zone, now);
+        startup(kind).as_secs_f64() * BOOT_MARGIN * slowness
     }
 
     /// Rents what is wanted and gives back what isn't.
@@ -229,11 +248,6 @@
     Duration::from_secs_f64(kind.startup_s.clamp(0.0, LONGEST_STARTUP_S))
 }
 
-/// Seconds until a new machine is up, if it takes as long as it often does.
-fn boot_s(kind: &MachineType) -> f64 {
-    startup(kind).as_secs_f64() * BOOT_MARGIN
-}
-
 /// Machines are often up later than usual by this much.
 const BOOT_MARGIN: f64 = 1.2;
 
--- a/src/coordination/shard/plan/offer.rs
+++ b/src/coordination/shard/plan/offer.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::BOOT_MARGIN;
 use super::demand::{Demand, OfferFilter};
-use super::{BOOT_MARGIN, startup};
 use crate::coordination::shard::Shard;
 use crate::coordination::shard::fleet::{LEAST_CHARGE, MachineKind};
 use crate::coordination::shard::machines::Amounts;
@@ -56,6 +56,8 @@
     pub kind: Arc<MachineType>,
     pub zone: String,
     pub spot: bool,
+    /// Seconds until it is up, if it takes as long as it often does.
+    pub ready_in_s: f64,
 }
 
 impl Offer {
@@ -86,11 +88,13 @@
             let zones = kind.zones.iter();
             let open = zones.filter(|zone| !self.cut_off.contains(*zone));
             for zone in open.filter(|zone| only.is_none_or(|only| only == **zone)) {
+                let ready_in_s = self.boot_s(kind, zone, now);
                 for spot in [false, true] {
                     let offer = Offer {
                         kind: kind.clone(),
                         zone: zone.clone(),
                         spot,
+                        ready_in_s,
                     };
                     let Some(cost) = self.cost_of(&offer, demand, left, crowds, now) else {
                         continue;
@@ -130,7 +134,7 @@
         }
         let run = run_s(spec);
         // A machine is paid for while it boots and fetches.
-        let start = start_s(&offer.kind, spec);
+        let start = offer.ready_in_s / BOOT_MARGIN + fetch_s(&offer.kind, spec);
         let mut cost = price * (start + run) / run / f64::from(fits.min(left));
         match demand.filter {
             OfferFilter::SpotOnly if !offer.spot => return None,
@@ -157,13 +161,11 @@
     }
 }
 
-/// Seconds until a new machine usually runs a job's task: it boots, and fetches the
-/// image.
-fn start_s(kind: &MachineType, spec: &JobSpec) -> f64 {
-    let fetch = if kind.fetch_gb_per_s > 0.0 {
+/// Seconds for which a new machine usually fetches a job's image.
+fn fetch_s(kind: &MachineType, spec: &JobSpec) -> f64 {
+    if kind.fetch_gb_per_s > 0.0 {
         spec.image_gb / kind.fetch_gb_per_s
     } else {
         0.0
-    };
-    startup(kind).as_secs_f64() + fetch
+    }
 }
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::commands::{clear_allowed, stop};
+use super::plan::startup;
 use super::{Action, Attempt, Machine, Phase, Shard};
 use crate::protocol::users::JobKind;
 use crate::protocol::workers::{Command, Ending, Report, TaskReport, TaskState};
@@ -120,7 +121,9 @@
     fn adopt(&mut self, report: &Report, now: Instant) -> Option<&mut Machine> {
         let id: MachineId = report.machine.as_str().into();
         let lease_over = now + self.policy.lease_surely_over();
-        if !self.machines.contains(&id) {
+        if self.machines.contains(&id) {
+            self.note_boot(&id, now);
+        } else {
             self.machines
                 .insert(Machine::new(id.clone(), now, lease_over));
         }
@@ -137,6 +140,24 @@
         Some(machine)
     }
 
+    /// Takes in how long a machine took that is heard for the first time. One that was
+    /// rented before this owner began may have come up unheard.
+    fn note_boot(&mut self, id: &MachineId, now: Instant) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        if machine.heard.is_some() || machine.admitted || machine.rented < self.acquired {
+            return;
+        }
+        let Some(kind) = self.types.get(&*machine.machine_type) else {
+            return;
+        };
+        let took = now.saturating_duration_since(machine.rented);
+        let ratio = took.as_secs_f64() / startup(kind).as_secs_f64().max(1.0);
+        let boots = &mut self.fleet.boot_times;
+        boots.note_arrival(&machine.machine_type, &machine.zone, ratio, now);
+    }
+
     fn take_notice(&mut self, id: &MachineId, notice_s: Option<f64>, now: Instant) {
         let Some(machine) = self.machines.get_mut(id) else {
             return;
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -20,6 +20,15 @@
 /// Times of a usual report after which a machine that was taken is given up.
 const SOON: f64 = 1.4;
 
+/// Times of a usual boot, and some more, after which a machine that is not up is given
+/// back; at most so long where all come late.
+const BOOTS_TO_GIVE_UP: f64 = 4.0;
+const BOOT_ALLOWANCE: Duration = Duration::from_secs(30);
+const LONGEST_BOOT_PATIENCE: Duration = Duration::from_secs(900);
+
+/// The same for a machine whose type isn't known.
+const PATIENCE_WITH_UNKNOWN: Duration = Duration::from_secs(300);
+
 /// How much of the shard is silent.
 #[derive(Debug, Clone, Copy)]
 struct SilenceOverview {
@@ -165,6 +174,19 @@
         self.needs_pass = true;
     }
 
+    /// How long a machine that is not up yet is waited for. Where none comes up in time,
+    /// giving them all back would only begin the wait anew.
+    fn boot_patience(&self, machine: &Machine, now: Instant) -> Duration {
+        let Some(kind) = self.types.get(&*machine.machine_type) else {
+            return PATIENCE_WITH_UNKNOWN;
+        };
+        let slowness = self.boot_slowness(machine, now);
+        let patience = startup(kind).mul_f64(BOOTS_TO_GIVE_UP) + BOOT_ALLOWANCE;
+        patience
+            .mul_f64(slowness)
+            .min(LONGEST_BOOT_PATIENCE.max(patience))
+    }
+
     /// Gives back what is empty and in no plan, and what never came up.
     pub(super) fn give_back(&mut self, capacities: &[Capacity], now: Instant) {
         let spare: HashSet<&MachineId> = capacities
@@ -176,11 +198,7 @@
         for machine in self.machines.values().filter(|m| !m.deleting) {
             let age = now.saturating_duration_since(machine.rented);
             if machine.heard.is_none() && !machine.admitted {
-                let patience = match self.types.get(&*machine.machine_type) {
-                    Some(kind) => startup(kind).mul_f64(4.0) + Duration::from_secs(30),
-                    None => Duration::from_secs(300),
-                };
-                if age > patience {
+                if age > self.boot_patience(machine, now) {
                     back.push((machine.id.clone(), "it never came up"));
                 }
                 continue;
