--- /dev/null
+++ b/src/coordination/shard/tests/late_machines.rs
@@ -0,0 +1,177 @@
+//! New machines come late, all at once after being ordered twice, or never.
+
+use std::time::Duration;
+
+use super::script::{Script, TERM};
+use super::world::spec;
+use crate::coordination::shard::{Action, RentalOutcome};
+use crate::protocol::cloud::Rental;
+use crate::protocol::users::{JobSpec, Priority};
+
+/// The usual boot of these machines takes 10 s.
+const USUAL_S: u64 = 10;
+
+struct Rented {
+    script: Script,
+    machines: Vec<(String, Rental)>,
+    deleted: usize,
+}
+
+impl Rented {
+    /// Work for ten machines, of which none is up.
+    fn for_work() -> Self {
+        let mut script = Script::without_guarantees();
+        let urgent = JobSpec {
+            spot: false,
+            ..spec("blue", 8.0, 10)
+        };
+        script.submit("run-1", urgent);
+        Self {
+            script,
+            machines: Vec::new(),
+            deleted: 0,
+        }
+    }
+
+    /// Time passes in which the cloud grants all that is asked for.
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.script.pass(Duration::from_secs(1));
+            for rental in self.script.rentals() {
+                self.grant(rental);
+            }
+            let all = self.script.actions.len();
+            self.script
+                .actions
+                .retain(|a| !matches!(a, Action::Delete(_)));
+            self.deleted += all - self.script.actions.len();
+        }
+    }
+
+    fn grant(&mut self, rental: Rental) {
+        let first = self.machines.len();
+        let names: Vec<String> = (first..first + rental.count as usize)
+            .map(|n| format!("vm-{n:03}"))
+            .collect();
+        for name in &names {
+            self.machines.push((name.clone(), rental.clone()));
+        }
+        let rented = RentalOutcome::Rented(names);
+        self.script
+            .shard
+            .rental_answered(&rental.request, rented, self.script.now);
+        self.script.settle();
+    }
+
+    /// A machine comes up; its worker reports.
+    fn come_up(&mut self, name: &str) {
+        let (_, rental) = self
+            .machines
+            .iter()
+            .find(|(id, _)| id == name)
+            .expect("rented");
+        let (zone, spot) = (rental.zone.clone(), rental.spot);
+        let mut report = self.script.report_of(name, TERM, Vec::new());
+        report.zone = zone;
+        report.spot = spot;
+        self.script.shard.report(&report, self.script.now);
+        self.script.settle();
+    }
+}
+
+/// Before, each wait was twice the usual boot long, and then all was rented again.
+#[test]
+fn machines_that_all_come_late_are_not_ordered_again_and_again() {
+    let mut rented = Rented::for_work();
+    rented.pass(1);
+    assert_eq!(rented.machines.len(), 10);
+    rented.pass(25 * USUAL_S);
+    assert!(
+        rented.machines.len() <= 20,
+        "{} rented",
+        rented.machines.len()
+    );
+    assert_eq!(rented.deleted, 0, "they may come yet");
+    // They come, and are worked with.
+    let names: Vec<String> = rented
+        .machines
+        .iter()
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in names.iter().take(10) {
+        rented.come_up(name);
+    }
+    rented.pass(1);
+    assert_eq!(rented.script.shard.jobs()["run-1"].live().len(), 10);
+}
+
+#[test]
+fn machines_that_never_come_up_are_given_back_at_last() {
+    let mut rented = Rented::for_work();
+    rented.pass(1200);
+    assert!(rented.deleted > 0);
+}
+
+#[test]
+fn a_machine_that_alone_does_not_come_up_is_soon_replaced_and_given_back() {
+    let mut rented = Rented::for_work();
+    rented.pass(1);
+    let names: Vec<String> = rented
+        .machines
+        .iter()
+        .map(|(name, _)| name.clone())
+        .collect();
+    rented.pass(USUAL_S);
+    for name in &names[1..] {
+        rented.come_up(name);
+    }
+    rented.pass(2 * USUAL_S);
+    assert_eq!(rented.machines.len(), 11, "one in its place");
+    assert!(rented.script.machine(&names[0]).heard.is_none());
+    // Reports of the others go on, so that only the one is silent.
+    for _ in 0..5 * USUAL_S {
+        for name in &names[1..] {
+            let report = rented.script.running(name);
+            rented.script.shard.report(&report, rented.script.now);
+        }
+        rented.pass(1);
+    }
+    let first = rented.script.shard.machines().get(&names[0]);
+    assert!(first.is_none_or(|machine| machine.deleting));
+}
+
+/// Best-effort work fills what is there: full-price machines wait for its first start
+/// alone, though hours have passed.
+#[test]
+fn best_effort_work_without_a_time_rents_no_full_price_machines_beyond_its_start() {
+    let mut script = Script::without_guarantees();
+    let idle_time = JobSpec {
+        priority: Priority::BestEffort,
+        ..spec("blue", 8.0, 10)
+    };
+    script.report("vm-1", Vec::new());
+    script.report("vm-1", Vec::new());
+    script.submit("run-1", idle_time);
+    let mut ordinary = 0;
+    for _ in 0..1000 {
+        for batch in script.batches() {
+            let report = script.running(&batch.0);
+            script.answered(
+                &batch,
+                crate::coordination::shard::CommandOutcome::Executed(report),
+            );
+        }
+        let report = script.running("vm-1");
+        script.shard.report(&report, script.now);
+        script.pass(Duration::from_secs(1));
+        for rental in script.rentals() {
+            ordinary += u32::from(!rental.spot);
+            let none = RentalOutcome::NoCapacity;
+            script
+                .shard
+                .rental_answered(&rental.request, none, script.now);
+        }
+    }
+    assert_eq!(script.shard.jobs()["run-1"].live().len(), 1);
+    assert_eq!(ordinary, 0);
+}
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -5,6 +5,7 @@
 mod gang_troubles;
 mod gangs;
 mod idle;
+mod late_machines;
 mod limits;
 mod meetings;
 mod random;
