An owner that heard too few workers stays unfit until they answer it

Cause, by reading: it left the shard to others for 30 s, whatever went on; a cut from the workers that lasts longer handed the shard back to it for being nearer to the machines, to be given up again. It asks some of the workers it couldn't hear (peering/reach.rs), and is unfit while most don't answer, ten minutes at the most.

--- a/src/coordination/node_state.rs
+++ b/src/coordination/node_state.rs
@@ -7,6 +7,7 @@
 use super::advance_delegation::{AdvanceDelegation, AdvanceGrants};
 use super::cancellation_knowledge::CancellationKnowledge;
 use super::lease::ShardLease;
+use super::peering::reach::UnheardWorkers;
 use super::shard::{Shard, TaskCounts};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::peers::Heartbeat;
@@ -113,6 +114,9 @@
     pub extension_granted_until: Option<Instant>,
     /// Until when this node should rather not own the shard.
     pub unfit_until: Option<Instant>,
+    /// The workers that it couldn't hear when it last owned the shard, while they don't
+    /// answer it.
+    pub unheard_workers: Option<UnheardWorkers>,
 }
 
 /// A controller's part as a delegate of the owner.
--- a/src/coordination/peering/handover.rs
+++ b/src/coordination/peering/handover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::delegation::{HEARTBEAT_FRESH, LISTENING, heard_elsewhere};
+use super::reach;
 use crate::coordination::node::Node;
 use crate::coordination::ownership::step_down;
 use crate::coordination::shard::MachinesHeard;
@@ -15,8 +16,6 @@
 const LEAST_OWNERSHIP: Duration = Duration::from_secs(6);
 /// How long it stays while work waits: a change of owners makes it wait longer.
 const LONGEST_BUSY: Duration = Duration::from_secs(15);
-/// How long a node that couldn't hear the workers leaves the shard to others.
-const DEAF_FOR: Duration = Duration::from_secs(30);
 /// A nearer controller's heartbeat must not be older than this, for it to take over.
 const NEARER_HEARD: Duration = Duration::from_secs(2);
 
@@ -68,7 +67,7 @@
     };
     if *deaf_rounds >= DEAF_ROUNDS {
         *deaf_rounds = 0;
-        node.lock().candidacy.unfit_until = Some(node.now() + DEAF_FOR);
+        reach::note_unfit(node);
         let why = "it hears too few workers, and another controller does";
         step_down(node, &lease, why).await;
     } else if nearer_peer(node) {
--- a/src/coordination/peering/mod.rs
+++ b/src/coordination/peering/mod.rs
@@ -5,6 +5,7 @@
 pub mod extension;
 pub mod handover;
 pub mod heartbeat;
+pub mod reach;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,6 +63,7 @@
         delegation::tell_hearing(&node).await;
         delegation::delegate_and_revoke(&node).await;
         handover::step_down_if_unfit(&node, &mut deaf_rounds).await;
+        reach::ask_unheard_workers(&node).await;
     }
 }
 
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod cancellation_knowledge;
 mod peering;
+mod reach;
 
 use std::sync::Arc;
 
--- a/src/coordination/tests/peering.rs
+++ b/src/coordination/tests/peering.rs
@@ -17,7 +17,7 @@
 use crate::protocol::peers::Heartbeat;
 
 /// Has a controller own an empty shard.
-fn own(node: &Node, term: u64) -> Arc<ShardLease> {
+pub(super) fn own(node: &Node, term: u64) -> Arc<ShardLease> {
     let now = node.now();
     let lease = Arc::new(ShardLease::new(
         1,
--- /dev/null
+++ b/src/coordination/tests/reach.rs
@@ -0,0 +1,67 @@
+//! An owner that heard too few workers, and whether it reaches them again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::get;
+use tokio::net::TcpListener;
+
+use super::peering::own;
+use super::{node, report};
+use crate::clock::FakeClock;
+use crate::coordination::node::Node;
+use crate::coordination::peering::heartbeat::own_heartbeat;
+use crate::coordination::peering::reach::{ask_unheard_workers, note_unfit};
+
+const TERM: u64 = 7;
+
+/// An owner that has heard one worker, some time ago.
+fn owner_of_a_silent_worker(clock: &FakeClock, node: &Arc<Node>, addr: SocketAddr) {
+    let lease = own(node, TERM);
+    let mut report = report(TERM);
+    report.addr = addr.to_string();
+    node.with_shard(&lease, "reports", |shard, now| shard.report(&report, now));
+    clock.advance(Duration::from_secs(20));
+    note_unfit(node);
+    node.lock().ownership = None;
+}
+
+/// Found by reading: after 30 s an owner that still heard nobody counted as fit, and was
+/// handed the shard again for being nearer to the machines.
+#[tokio::test]
+async fn an_owner_that_heard_too_few_stays_unfit_while_they_do_not_answer() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    // Nothing listens on port 1.
+    owner_of_a_silent_worker(&clock, &node, ([127, 0, 0, 1], 1).into());
+    for _ in 0..20 {
+        clock.advance(Duration::from_secs(5));
+        ask_unheard_workers(&node).await;
+        assert!(own_heartbeat(&node).deaf);
+    }
+    // The machines may be gone: it doesn't wait for them for ever.
+    clock.advance(Duration::from_secs(600));
+    ask_unheard_workers(&node).await;
+    clock.advance(Duration::from_secs(60));
+    ask_unheard_workers(&node).await;
+    assert!(!own_heartbeat(&node).deaf);
+}
+
+#[tokio::test]
+async fn an_owner_that_heard_too_few_is_fit_again_some_time_after_they_answer() {
+    let clock = Arc::new(FakeClock::new());
+    let node = node(clock.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let addr = listener.local_addr().expect("its address");
+    let worker = Router::new().route("/status", get(async || "{}"));
+    tokio::spawn(async move { axum::serve(listener, worker).await });
+    owner_of_a_silent_worker(&clock, &node, addr);
+    clock.advance(Duration::from_secs(5));
+    ask_unheard_workers(&node).await;
+    assert!(own_heartbeat(&node).deaf, "for half a minute in any case");
+    clock.advance(Duration::from_secs(30));
+    ask_unheard_workers(&node).await;
+    assert!(!own_heartbeat(&node).deaf);
+}
