--- a/src/coordination/shard/placement/usage.rs
+++ b/src/coordination/shard/placement/usage.rs
@@ -94,11 +94,7 @@
     /// A team's place in the turn: within its guarantee first, then by what it
     /// uses for its share.
     pub(super) fn turn(&self, usage: &Usage, spec: &JobSpec) -> (bool, f64) {
-        let share = self
-            .policy
-            .teams
-            .get(&spec.team)
-            .map_or(1.0, |team| team.cores.max(team.accelerators).max(1.0));
+        let share = self.policy.share_of(&spec.team);
         let used = usage.of(&spec.team);
         (
             !self.within_guarantee(usage, spec),
--- a/src/coordination/shard/policy.rs
+++ b/src/coordination/shard/policy.rs
@@ -24,6 +24,9 @@
 /// rentals) may use; jobs' facts need the rest.
 const FACT_WRITE_SHARE: f64 = 0.3;
 
+/// The least that a team's share counts as.
+const LEAST_SHARE: f64 = 1.0;
+
 /// For an answer that reaches a worker later than it was given.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -123,6 +126,19 @@
         self.teams.values().any(|team| team.cores > 0.0)
     }
 
+    /// A team's share of what is beyond all guarantees: its own guarantee, or the smallest
+    /// of the others' if it has none.
+    pub fn share_of(&self, team: &str) -> f64 {
+        let guarantee = |team: &TeamPolicy| team.cores.max(team.accelerators);
+        let own = self.teams.get(team).map_or(0.0, guarantee);
+        if own > 0.0 {
+            return own.max(LEAST_SHARE);
+        }
+        let others = self.teams.values().map(guarantee);
+        let smallest = others.filter(|cores| *cores > 0.0).min_by(f64::total_cmp);
+        smallest.unwrap_or(LEAST_SHARE).max(LEAST_SHARE)
+    }
+
     /// How long a worker that answers may go without a report of its own. One whose
     /// owner has just ended takes its time to find the next.
     pub fn report_overdue(&self) -> Duration {
--- /dev/null
+++ b/src/coordination/shard/tests/guests.rs
@@ -0,0 +1,48 @@
+//! Teams without a guarantee, beside teams with one.
+
+use std::time::Duration;
+
+use super::script::Script;
+use super::world::{policy, spec};
+use crate::coordination::shard::{Loaded, Policy, TeamPolicy};
+
+/// Found by reading: a team without a guarantee had a share of one core, and got next to
+/// nothing of what others borrowed beyond theirs.
+#[test]
+fn a_team_without_a_guarantee_gets_its_share_of_what_is_beyond_all_guarantees() {
+    let guaranteed = TeamPolicy {
+        cores: 8.0,
+        ..TeamPolicy::default()
+    };
+    let policy = Policy {
+        alone: Duration::ZERO,
+        teams: [
+            ("red".to_owned(), guaranteed),
+            ("blue".to_owned(), TeamPolicy::default()),
+        ]
+        .into(),
+        ..policy()
+    };
+    let mut script = Script::under(policy, Loaded::default());
+    script.submit("run-1", spec("red", 1.0, 100));
+    script.submit("run-2", spec("blue", 1.0, 100));
+    for id in ["vm-1", "vm-2", "vm-3", "vm-4"] {
+        let report = script.report_of(id, super::script::TERM, Vec::new());
+        script.shard.report(&report, script.now);
+    }
+    script.settle();
+    script.settle();
+    let placed = |job: &str| script.shard.jobs()[job].live().len();
+    assert_eq!((placed("run-1"), placed("run-2")), (16, 16));
+}
+
+/// The guarantee itself comes first, however little the guests have.
+#[test]
+fn a_guarantee_comes_before_the_shares() {
+    let mut script = Script::new(Loaded::default());
+    script.submit("run-1", spec("blue", 1.0, 100));
+    script.submit("run-2", spec("red", 1.0, 8));
+    script.report("vm-1", Vec::new());
+    script.settle();
+    assert_eq!(script.shard.jobs()["run-2"].live().len(), 8);
+}
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod gang_troubles;
 mod gangs;
+mod guests;
 mod idle;
 mod late_machines;
 mod limits;
