A silent zone's machines wait for it; trouble with boots ends with a machine in time

Machines of a zone of which next to nothing is heard are waited for as when much is silent; where boots are late they aren't given back before. One more machine is rented now and then where all are late, and one that was rented later and comes in time ends the trouble.

--- a/src/coordination/shard/boot_times.rs
+++ b/src/coordination/shard/boot_times.rs
@@ -6,46 +6,106 @@
 //! nor ordered again and again.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Weight of the newest machine in the average.
-const NEWEST: f64 = 0.3;
 /// How long what was seen counts.
 const MEMORY: Duration = Duration::from_secs(300);
+/// Machines that came up, the last to be rented, that tell how long they take now.
+const TELLING: usize = 5;
+/// Times of the usual boot within which a machine is up in time.
+const IN_TIME: f64 = 2.0;
 /// How long a machine that came up shows that machines come up.
 const ARRIVED_LATELY: Duration = Duration::from_secs(60);
 /// Overdue machines of a type in a zone that show trouble, if fewer came up lately.
 const OVERDUE_TO_WORRY: usize = 3;
 /// Machines that are not up yet are reckoned to take so much longer than so far.
 const STILL_TO_COME: f64 = 1.5;
+/// How often the pause between two machines that are rented to see whether boots are in
+/// time again doubles; the first is twice a usual boot long.
+const LONGEST_PROBE_PAUSE: u32 = 2;
 /// Slowest boots that are reckoned with, in times of the usual.
 const SLOWEST: f64 = 30.0;
 
-/// Boots of one type of machine in one zone; times are in times of the usual one.
+/// A machine that came up.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    rented: Instant,
+    at: Instant,
+    /// How long it took, in times of the usual boot.
+    ratio: f64,
+}
+
+/// A machine that should be up and isn't.
+#[derive(Debug, Clone)]
+pub(super) struct Overdue {
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub rented: Instant,
+    /// Its age in times of the usual boot.
+    pub ratio: f64,
+}
+
+/// Boots of one type of machine in one zone.
 #[derive(Debug, Default)]
 struct Boots {
-    average: Option<f64>,
-    /// When machines came up, as far back as it matters.
-    arrivals: Vec<Instant>,
-    /// By the ages of those that are overdue, if these show trouble.
+    /// What came up lately, the last to be rented at the end.
+    arrivals: Vec<Arrival>,
+    /// How slow boots are by the ages of machines that are overdue; 0 without trouble.
     overdue: f64,
+    /// When a machine was last rented to see whether the trouble is over, and how many
+    /// were since it began.
+    probed: Option<Instant>,
+    probes: u32,
 }
 
 impl Boots {
-    fn arrived_lately(&self, now: Instant) -> usize {
-        let lately = |at: &&Instant| now.saturating_duration_since(**at) < ARRIVED_LATELY;
-        self.arrivals.iter().filter(lately).count()
+    fn note_arrival(&mut self, arrival: Arrival) {
+        let now = arrival.at;
+        self.arrivals
+            .retain(|known| now.saturating_duration_since(known.at) < MEMORY);
+        self.arrivals.push(arrival);
+        self.arrivals.sort_by_key(|arrival| arrival.rented);
+    }
+
+    /// Until when machines were rented that came up in time: what is overdue from before
+    /// says nothing of those rented now.
+    fn in_time_up_to(&self) -> Option<Instant> {
+        let in_time = self.arrivals.iter().rev().find(|a| a.ratio < IN_TIME);
+        in_time.map(|arrival| arrival.rented)
+    }
+
+    fn note_overdue(&mut self, overdue: &[Overdue], now: Instant) {
+        let since = self.in_time_up_to();
+        let counts = overdue
+            .iter()
+            .filter(|machine| since.is_none_or(|at| machine.rented > at));
+        let mut ratios: Vec<f64> = counts.map(|machine| machine.ratio).collect();
+        let lately = |a: &&Arrival| now.saturating_duration_since(a.at) < ARRIVED_LATELY;
+        let arrived = self.arrivals.iter().filter(lately).count();
+        let trouble = ratios.len() >= OVERDUE_TO_WORRY && ratios.len() > arrived;
+        self.overdue = if trouble {
+            median(&mut ratios) * STILL_TO_COME
+        } else {
+            0.0
+        };
     }
 
     fn slowness(&self, now: Instant) -> f64 {
-        let remembered = |at: &Instant| now.saturating_duration_since(*at) < MEMORY;
-        let seen = self
-            .average
-            .filter(|_| self.arrivals.iter().any(remembered));
-        seen.unwrap_or(1.0).max(self.overdue).clamp(1.0, SLOWEST)
+        let last = self.arrivals.iter().rev().take(TELLING);
+        let remembered = last.filter(|a| now.saturating_duration_since(a.at) < MEMORY);
+        let mut ratios: Vec<f64> = remembered.map(|arrival| arrival.ratio).collect();
+        median(&mut ratios).max(self.overdue).clamp(1.0, SLOWEST)
     }
 }
 
+/// The middle of some numbers; 0 if there are none.
+fn median(numbers: &mut [f64]) -> f64 {
+    numbers.sort_by(f64::total_cmp);
+    numbers.get(numbers.len() / 2).copied().unwrap_or(0.0)
+}
+
 /// Boot times by machine type and zone.
 #[derive(Debug, Default)]
 pub(super) struct BootTimes {
@@ -71,59 +131,65 @@
         zones.entry(zone.to_owned()).or_default()
     }
 
-    /// A machine has come up after so many times the usual time.
+    /// A machine has come up.
     pub(super) fn note_arrival(
         &mut self,
         machine_type: &str,
         zone: &str,
+        rented: Instant,
         ratio: f64,
         now: Instant,
     ) {
-        let boots = self.entry(machine_type, zone);
-        let ratio = ratio.clamp(0.0, SLOWEST);
-        let average = boots.average.unwrap_or(ratio);
-        boots.average = Some(average + (ratio - average) * NEWEST);
-        boots
-            .arrivals
-            .retain(|at| now.saturating_duration_since(*at) < MEMORY);
-        boots.arrivals.push(now);
+        let at = now;
+        let arrival = Arrival { rented, at, ratio };
+        self.entry(machine_type, zone).note_arrival(arrival);
     }
 
-    /// Takes in the machines that are not up yet: by type and zone, the ages of those that
-    /// are overdue, in times of the usual boot.
-    pub(super) fn note_overdue<'a>(
-        &mut self,
-        overdue: impl Iterator<Item = (&'a str, &'a str, f64)>,
-        now: Instant,
-    ) {
-        let mut ages: BTreeMap<(&str, &str), Vec<f64>> = BTreeMap::new();
-        for (machine_type, zone, age) in overdue {
-            ages.entry((machine_type, zone)).or_default().push(age);
+    /// Takes in the machines that are not up though they should be.
+    pub(super) fn note_overdue(&mut self, overdue: &[Overdue], now: Instant) {
+        let mut by_kind: BTreeMap<(&str, &str), Vec<Overdue>> = BTreeMap::new();
+        for machine in overdue {
+            let kind = (&*machine.machine_type, &*machine.zone);
+            by_kind.entry(kind).or_default().push(machine.clone());
+        }
+        for (machine_type, zone) in by_kind.keys() {
+            self.entry(machine_type, zone);
         }
         for (machine_type, zones) in &mut self.boots {
             for (zone, boots) in zones {
-                if !ages.contains_key(&(machine_type.as_str(), zone.as_str())) {
-                    boots.overdue = 0.0;
+                let kind = (machine_type.as_str(), zone.as_str());
+                let was_trouble = boots.overdue > 0.0;
+                boots.note_overdue(by_kind.get(&kind).map_or(&[], Vec::as_slice), now);
+                let trouble = boots.overdue > 0.0;
+                if trouble != was_trouble {
+                    tracing::info!(machine_type, zone, trouble, "machines come late");
                 }
             }
         }
-        for ((machine_type, zone), mut ages) in ages {
-            ages.sort_by(f64::total_cmp);
-            let median = ages[ages.len() / 2];
-            let boots = self.entry(machine_type, zone);
-            let trouble = ages.len() >= OVERDUE_TO_WORRY && ages.len() > boots.arrived_lately(now);
-            let was_trouble = boots.overdue > 0.0;
-            boots.overdue = if trouble { median * STILL_TO_COME } else { 0.0 };
-            if trouble != was_trouble {
-                tracing::info!(
-                    machine_type,
-                    zone,
-                    overdue = ages.len(),
-                    trouble,
-                    "machines come late"
-                );
-            }
+    }
+
+    /// Whether a machine of a type should be rented in a zone only to see whether they come
+    /// up in time again: where all are late, and none was rented for some usual boots.
+    pub(super) fn probe_due(
+        &mut self,
+        machine_type: &str,
+        zone: &str,
+        usual: Duration,
+        now: Instant,
+    ) -> bool {
+        let boots = self.entry(machine_type, zone);
+        if boots.overdue == 0.0 {
+            boots.probes = 0;
+            return false;
+        }
+        let pause = usual * (1 << boots.probes.min(LONGEST_PROBE_PAUSE));
+        let lately = |at: Instant| now.saturating_duration_since(at) < pause;
+        if boots.probes > 0 && boots.probed.is_some_and(lately) {
+            return false;
         }
+        boots.probed = Some(now);
+        boots.probes += 1;
+        true
     }
 }
 
--- a/src/coordination/shard/plan/capacity.rs
+++ b/src/coordination/shard/plan/capacity.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use super::startup;
-use crate::coordination::shard::fleet::PLAN_EVERY;
+use crate::coordination::shard::boot_times::Overdue;
+use crate::coordination::shard::fleet::{MachineKind, PLAN_EVERY};
 use crate::coordination::shard::machines::Amounts;
 use crate::coordination::shard::placement::allowed;
 use crate::coordination::shard::{Machine, Shard};
@@ -207,14 +208,40 @@
             let age = now.saturating_duration_since(machine.rented);
             let usual = startup(kind);
             let late = age > usual.mul_f64(LATEST_START) + LATEST_START_MARGIN;
-            let ratio = age.as_secs_f64() / usual.as_secs_f64().max(1.0);
-            late.then(|| (machine.machine_type.clone(), machine.zone.clone(), ratio))
+            late.then(|| Overdue {
+                machine_type: machine.machine_type.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                rented: machine.rented,
+                ratio: age.as_secs_f64() / usual.as_secs_f64().max(1.0),
+            })
         });
-        let overdue: Vec<(Arc<str>, Arc<str>, f64)> = overdue.collect();
-        let overdue = overdue
-            .iter()
-            .map(|(kind, zone, age)| (&**kind, &**zone, *age));
-        self.fleet.boot_times.note_overdue(overdue, now);
+        let overdue: Vec<Overdue> = overdue.collect();
+        self.fleet.boot_times.note_overdue(&overdue, now);
+        self.probe_boots(&overdue, now);
+    }
+
+    /// Where all machines come late, one more is rented now and then: only a new one shows
+    /// that the trouble is over.
+    fn probe_boots(&mut self, overdue: &[Overdue], now: Instant) {
+        for machine in overdue {
+            let Some(usual) = self
+                .types
+                .get(&*machine.machine_type)
+                .map(|kind| startup(kind))
+            else {
+                continue;
+            };
+            let kind = MachineKind {
+                machine_type: machine.machine_type.to_string(),
+                zone: machine.zone.to_string(),
+                spot: machine.spot,
+            };
+            let boots = &mut self.fleet.boot_times;
+            if boots.probe_due(&kind.machine_type, &kind.zone, usual, now) {
+                self.book(kind, 1);
+            }
+        }
     }
 
     /// Whether a machine is on its way out, or can't be reached.
--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -155,7 +155,8 @@
         let took = now.saturating_duration_since(machine.rented);
         let ratio = took.as_secs_f64() / startup(kind).as_secs_f64().max(1.0);
         let boots = &mut self.fleet.boot_times;
-        boots.note_arrival(&machine.machine_type, &machine.zone, ratio, now);
+        let (kind, zone) = (&machine.machine_type, &machine.zone);
+        boots.note_arrival(kind, zone, machine.rented, ratio, now);
     }
 
     fn take_notice(&mut self, id: &MachineId, notice_s: Option<f64>, now: Instant) {
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -1,6 +1,7 @@
 //! Giving machines back: those that are silent, that nobody needs, or that never came up.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::fleet::{LEAST_CHARGE, MachineKind, RETRY};
@@ -17,6 +18,11 @@
 /// One in so many machines counts as few.
 const FEW_LEFT: usize = 20;
 
+/// Share of a zone's machines that are silent if it is likely cut off, and how many it has
+/// to have for that.
+const ZONE_SILENT_SHARE: f64 = 0.9;
+const LEAST_ZONE: usize = 3;
+
 /// Times of a usual report after which a machine that was taken is given up.
 const SOON: f64 = 1.4;
 
@@ -30,21 +36,46 @@
 const PATIENCE_WITH_UNKNOWN: Duration = Duration::from_secs(300);
 
 /// How much of the shard is silent.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct SilenceOverview {
     many_silent: bool,
+    /// Zones of which next to nothing is heard: likely cut off, and back some time.
+    silent_zones: HashSet<Arc<str>>,
+    /// New machines take much longer than usual: silent ones may be back sooner.
+    late_boots: bool,
     /// The same for machines that answer, but whose own reports don't come.
     many_unreported: bool,
     few_unaccounted: bool,
 }
 
+/// The zones of which next to nothing is heard.
+fn silent_zones<'a>(
+    expected: impl Iterator<Item = &'a Machine>,
+    silent: impl Iterator<Item = &'a Machine>,
+) -> HashSet<Arc<str>> {
+    let mut silent_in: HashMap<Arc<str>, usize> = HashMap::new();
+    for machine in silent {
+        *silent_in.entry(machine.zone.clone()).or_default() += 1;
+    }
+    let mut all_in: HashMap<Arc<str>, usize> = HashMap::new();
+    for machine in expected {
+        *all_in.entry(machine.zone.clone()).or_default() += 1;
+    }
+    let is_silent = |(_, silent): &(&Arc<str>, &usize), all: usize| {
+        all >= LEAST_ZONE && (**silent as f64) >= all as f64 * ZONE_SILENT_SHARE
+    };
+    let zones = silent_in.iter();
+    let zones = zones.filter(|entry| is_silent(entry, all_in.get(entry.0).copied().unwrap_or(0)));
+    zones.map(|(zone, _)| zone.clone()).collect()
+}
+
 impl Shard {
     /// Gives back machines that are silent, so that their tasks can move.
     pub(super) fn abandon_lost(&mut self, now: Instant) {
         let overview = self.silence_overview(now);
         let expected = self.machines.values().filter(|m| m.should_report());
         let lost: Vec<(MachineId, &str)> = expected
-            .filter_map(|m| Some((m.id.clone(), self.why_lost(m, overview, now)?)))
+            .filter_map(|m| Some((m.id.clone(), self.why_lost(m, &overview, now)?)))
             .collect();
         for (id, why) in lost {
             self.begin_deletion(&id, now, why);
@@ -69,9 +100,11 @@
         let much = |count: usize| count > 1 && count * 3 > total;
         let silent = expected.clone();
         let silent = silent.filter(|m| self.silence_under_us(m, now) >= self.policy.suspect);
-        let unreported = expected.filter(|m| self.reports_missing(m, now));
+        let unreported = expected.clone().filter(|m| self.reports_missing(m, now));
         SilenceOverview {
-            many_silent: much(silent.count()),
+            many_silent: much(silent.clone().count()),
+            silent_zones: silent_zones(expected.clone(), silent),
+            late_boots: self.fleet.boot_times.in_trouble(now),
             many_unreported: much(unreported.count()),
             // The last few that nobody can account for hold up all that waits; when
             // most are accounted for, the trouble is not ours.
@@ -83,11 +116,12 @@
     fn why_lost(
         &self,
         machine: &Machine,
-        overview: SilenceOverview,
+        overview: &SilenceOverview,
         now: Instant,
     ) -> Option<&'static str> {
         let silence = self.silence_under_us(machine, now);
         let unanswered = machine.unanswered >= PROBES_TO_ABANDON;
+        let in_silent_zone = overview.silent_zones.contains(&machine.zone);
         let taken = machine.vanished || machine.notice.is_some_and(|at| at <= now);
         if taken && silence >= self.policy.report.mul_f64(SOON) {
             return Some("the cloud has taken it");
@@ -96,14 +130,16 @@
             if overview.few_unaccounted && self.unresolved.contains(&machine.id) {
                 return Some("it alone is not accounted for");
             }
-            if silence >= self.policy.abandon && !overview.many_silent {
+            let may_be_back = overview.late_boots && in_silent_zone;
+            if silence >= self.policy.abandon && !overview.many_silent && !may_be_back {
                 return Some("its worker is silent");
             }
         }
         if now <= machine.lease_over || self.others_may_answer() {
             return None;
         }
-        if silence >= self.patience(machine, overview.many_silent) {
+        let many_silent = overview.many_silent || in_silent_zone;
+        if silence >= self.patience(machine, many_silent) {
             return Some("its worker's lease is over");
         }
         let unreported = machine.unreported_for(now);
