Late machines are replaced by half, and waited for twice as long each time

What is overdue goes back as before, but the wait doubles each time that none came up, and every other overdue machine counts as coming, so that no more than as many again are ordered. Machines of a silent zone are also kept where their missing reports would have sent them back.

--- a/src/coordination/node.rs
+++ b/src/coordination/node.rs
@@ -33,11 +33,14 @@
 const WORKER_IDLE: Duration = Duration::from_secs(5);
 /// Pauses between reports after which a silent connection to us is closed.
 const IDLE_REPORTS: u32 = 5;
-/// Batches of commands under way at once; more wait for their turn.
-const MOST_COMMANDS: usize = 128;
-/// Probes under way at once. They have a limit of their own: silent machines
-/// must not hold up commands to the others.
-const MOST_PROBES: usize = 32;
+/// Batches of commands under way at once, in percent of the sockets, and the least that is
+/// allowed for; more wait for their turn.
+const COMMAND_SHARE: usize = 7;
+const LEAST_COMMANDS: usize = 128;
+/// The same for probes. They have a limit of their own: silent machines must not hold up
+/// commands to the others, nor a few silent ones the questions to all others.
+const PROBE_SHARE: usize = 4;
+const LEAST_PROBES: usize = 32;
 
 /// Share of the state service's writes that one controller asks for on users'
 /// behalf: what it can't take at once waits here, and stands in nobody's way
@@ -125,6 +128,7 @@
         let ledger = Ledger::new(catch_up_pace(&settings));
         let rate = settings.platform.settings.state.planned().write_rps * USER_WRITE_SHARE;
         let user_writes = Turns::new(rate, LONGEST_TURN);
+        let sockets = settings.platform.settings.resources.max_connections;
         Arc::new(Self {
             policy: Policy::new(&settings),
             front_places: places(&settings, FRONT_SHARE),
@@ -137,8 +141,8 @@
             workers_kept: HttpClient::keeping(WORKER_IDLE),
             workers_once: HttpClient::keeping(Duration::ZERO),
             user_writes,
-            commands: Semaphore::new(MOST_COMMANDS),
-            probes: Semaphore::new(MOST_PROBES),
+            commands: Semaphore::new(LEAST_COMMANDS.max(sockets * COMMAND_SHARE / 100)),
+            probes: Semaphore::new(LEAST_PROBES.max(sockets * PROBE_SHARE / 100)),
             peers_http: HttpClient::new(),
             run: random_id(),
             started,
--- a/src/coordination/peering/heartbeat.rs
+++ b/src/coordination/peering/heartbeat.rs
@@ -8,8 +8,11 @@
 use crate::coordination::node::Node;
 use crate::coordination::node_state::{OwnerHeard, PeerView};
 use crate::coordination::shard::TaskCounts;
+use crate::protocol::JobId;
 use crate::protocol::peers::{Heartbeat, PeerAnswer, PeerRequest, Progress};
 
+/// Jobs whose counts one heartbeat carries: some 1.5 MB, which all versions read.
+const MOST_PROGRESS: usize = 50_000;
 /// How long a worker that came by counts as heard.
 const HEARD: Duration = Duration::from_secs(8);
 
@@ -43,20 +46,27 @@
     }
 }
 
-/// How far the jobs are, if this node runs the shard.
+/// How far the jobs are, if this node runs the shard. Jobs of which nothing runs or is done
+/// are left out: a job that isn't named is pending. Beyond the most that a frame holds, the
+/// counts of some jobs aren't shown by other controllers; they are for display alone.
 fn progress(node: &Node) -> Vec<Progress> {
     let inner = node.lock();
     let Some(own) = &inner.ownership else {
         return Vec::new();
     };
-    own.shard
-        .progress()
-        .map(|(job, counts)| Progress {
-            job: job.to_string(),
-            done: counts.done,
-            running: counts.running,
-        })
-        .collect()
+    let row = |(job, counts): (&JobId, TaskCounts)| Progress {
+        job: job.to_string(),
+        done: counts.done,
+        running: counts.running,
+    };
+    let begun = |(_, counts): &(&JobId, TaskCounts)| counts.done + counts.running > 0;
+    let rows = own.shard.progress().filter(begun).take(MOST_PROGRESS);
+    let rows: Vec<Progress> = rows.map(row).collect();
+    if rows.is_empty() {
+        // A frame without rows says nothing of the jobs.
+        return own.shard.progress().take(1).map(row).collect();
+    }
+    rows
 }
 
 /// Sends a heartbeat to every other controller; the answers are taken in as they come.
--- a/src/coordination/shard/boot_times.rs
+++ b/src/coordination/shard/boot_times.rs
@@ -3,7 +3,8 @@
 //! The cloud names a usual time for each type. In trouble, all machines of a type in a
 //! zone come many times later than that, or none comes at all. Plans go by the slower of
 //! the usual time and the one seen, so that late machines are neither counted on too soon
-//! nor ordered again and again.
+//! nor ordered again and again. Where none comes up, no more than as many again are ordered,
+//! and the next ones are waited for twice as long.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,9 +22,8 @@
 const OVERDUE_TO_WORRY: usize = 3;
 /// Machines that are not up yet are reckoned to take so much longer than so far.
 const STILL_TO_COME: f64 = 1.5;
-/// How often the pause between two machines that are rented to see whether boots are in
-/// time again doubles; the first is twice a usual boot long.
-const LONGEST_PROBE_PAUSE: u32 = 2;
+/// How often the wait for machines that never come up doubles at the most.
+const MOST_DOUBLINGS: u32 = 4;
 /// Slowest boots that are reckoned with, in times of the usual.
 const SLOWEST: f64 = 30.0;
 
@@ -41,7 +41,6 @@
 pub(super) struct Overdue {
     pub machine_type: Arc<str>,
     pub zone: Arc<str>,
-    pub spot: bool,
     pub rented: Instant,
     /// Its age in times of the usual boot.
     pub ratio: f64,
@@ -54,10 +53,9 @@
     arrivals: Vec<Arrival>,
     /// How slow boots are by the ages of machines that are overdue; 0 without trouble.
     overdue: f64,
-    /// When a machine was last rented to see whether the trouble is over, and how many
-    /// were since it began.
-    probed: Option<Instant>,
-    probes: u32,
+    /// How often in a row machines were given up without one having come up since.
+    given_up: u32,
+    last_given_up: Option<Instant>,
 }
 
 impl Boots {
@@ -67,6 +65,7 @@
             .retain(|known| now.saturating_duration_since(known.at) < MEMORY);
         self.arrivals.push(arrival);
         self.arrivals.sort_by_key(|arrival| arrival.rented);
+        self.given_up = 0;
     }
 
     /// Until when machines were rented that came up in time: what is overdue from before
@@ -92,11 +91,17 @@
         };
     }
 
-    fn slowness(&self, now: Instant) -> f64 {
+    /// How slow the last machines were that came up; 1 at least.
+    fn seen_slowness(&self, now: Instant) -> f64 {
         let last = self.arrivals.iter().rev().take(TELLING);
         let remembered = last.filter(|a| now.saturating_duration_since(a.at) < MEMORY);
         let mut ratios: Vec<f64> = remembered.map(|arrival| arrival.ratio).collect();
-        median(&mut ratios).max(self.overdue).clamp(1.0, SLOWEST)
+        median(&mut ratios).clamp(1.0, SLOWEST)
+    }
+
+    /// The same, or as slow as those seem that are overdue.
+    fn slowness(&self, now: Instant) -> f64 {
+        self.seen_slowness(now).max(self.overdue.min(SLOWEST))
     }
 }
 
@@ -168,28 +173,25 @@
         }
     }
 
-    /// Whether a machine of a type should be rented in a zone only to see whether they come
-    /// up in time again: where all are late, and none was rented for some usual boots.
-    pub(super) fn probe_due(
-        &mut self,
-        machine_type: &str,
-        zone: &str,
-        usual: Duration,
-        now: Instant,
-    ) -> bool {
+    /// How many times longer than usual a machine is waited for that is not up yet: as long
+    /// as others took, and twice as long each time that all had to be given up.
+    pub(super) fn patience(&self, machine_type: &str, zone: &str, now: Instant) -> f64 {
+        let zones = self.boots.get(machine_type);
+        let boots = zones.and_then(|zones| zones.get(zone));
+        boots.map_or(1.0, |boots| {
+            let doubled = 1 << boots.given_up.min(MOST_DOUBLINGS);
+            boots.seen_slowness(now).max(f64::from(doubled))
+        })
+    }
+
+    /// A machine is given up that never came up.
+    pub(super) fn note_given_up(&mut self, machine_type: &str, zone: &str, now: Instant) {
         let boots = self.entry(machine_type, zone);
-        if boots.overdue == 0.0 {
-            boots.probes = 0;
-            return false;
-        }
-        let pause = usual * (1 << boots.probes.min(LONGEST_PROBE_PAUSE));
-        let lately = |at: Instant| now.saturating_duration_since(at) < pause;
-        if boots.probes > 0 && boots.probed.is_some_and(lately) {
-            return false;
+        let lately = |at: Instant| now.saturating_duration_since(at) < ARRIVED_LATELY;
+        if boots.overdue > 0.0 && !boots.last_given_up.is_some_and(lately) {
+            boots.given_up += 1;
+            boots.last_given_up = Some(now);
         }
-        boots.probed = Some(now);
-        boots.probes += 1;
-        true
     }
 }
 
--- a/src/coordination/shard/delegations.rs
+++ b/src/coordination/shard/delegations.rs
@@ -148,6 +148,10 @@
     /// Whether far more work waits to be accounted for than may be on machines
     /// that are not: then it is better to give these back than to wait.
     fn much_waits(&self) -> bool {
+        if self.presumed.is_empty() {
+            // Its snapshot was too large to say.
+            return false;
+        }
         let presumed: u32 = self
             .unresolved
             .iter()
--- a/src/coordination/shard/plan/capacity.rs
+++ b/src/coordination/shard/plan/capacity.rs
@@ -6,7 +6,7 @@
 
 use super::startup;
 use crate::coordination::shard::boot_times::Overdue;
-use crate::coordination::shard::fleet::{MachineKind, PLAN_EVERY};
+use crate::coordination::shard::fleet::PLAN_EVERY;
 use crate::coordination::shard::machines::Amounts;
 use crate::coordination::shard::placement::allowed;
 use crate::coordination::shard::{Machine, Shard};
@@ -165,8 +165,9 @@
         let coming = machine.heard.is_none() && !machine.admitted;
         if coming {
             let age = now.saturating_duration_since(machine.rented);
-            let usual = startup(kind).mul_f64(self.boot_slowness(machine, now));
-            if age > usual.mul_f64(LATEST_START) + LATEST_START_MARGIN {
+            let usual = startup(kind).mul_f64(self.boot_patience_factor(machine, now));
+            let overdue = age > usual.mul_f64(LATEST_START) + LATEST_START_MARGIN;
+            if overdue && !self.counts_though_overdue(machine, now) {
                 return None;
             }
         } else if machine.heard.is_some() && machine.silence(now) > self.policy.suspect {
@@ -198,6 +199,18 @@
         })
     }
 
+    /// Where all machines come late, every other overdue one is counted on all the same: so
+    /// no more are ordered in all than as many again.
+    fn counts_though_overdue(&self, machine: &Machine, now: Instant) -> bool {
+        let all_late = self.boot_slowness(machine, now) > LATEST_START;
+        all_late
+            && machine
+                .id
+                .bytes()
+                .last()
+                .is_some_and(|digit| digit % 2 == 0)
+    }
+
     /// Takes in which machines are not up though they should be.
     pub(super) fn note_overdue_boots(&mut self, now: Instant) {
         let coming = self.machines.values().filter(|machine| {
@@ -211,37 +224,12 @@
             late.then(|| Overdue {
                 machine_type: machine.machine_type.clone(),
                 zone: machine.zone.clone(),
-                spot: machine.spot,
                 rented: machine.rented,
                 ratio: age.as_secs_f64() / usual.as_secs_f64().max(1.0),
             })
         });
         let overdue: Vec<Overdue> = overdue.collect();
         self.fleet.boot_times.note_overdue(&overdue, now);
-        self.probe_boots(&overdue, now);
-    }
-
-    /// Where all machines come late, one more is rented now and then: only a new one shows
-    /// that the trouble is over.
-    fn probe_boots(&mut self, overdue: &[Overdue], now: Instant) {
-        for machine in overdue {
-            let Some(usual) = self
-                .types
-                .get(&*machine.machine_type)
-                .map(|kind| startup(kind))
-            else {
-                continue;
-            };
-            let kind = MachineKind {
-                machine_type: machine.machine_type.to_string(),
-                zone: machine.zone.to_string(),
-                spot: machine.spot,
-            };
-            let boots = &mut self.fleet.boot_times;
-            if boots.probe_due(&kind.machine_type, &kind.zone, usual, now) {
-                self.book(kind, 1);
-            }
-        }
     }
 
     /// Whether a machine is on its way out, or can't be reached.
--- a/src/coordination/shard/plan/mod.rs
+++ b/src/coordination/shard/plan/mod.rs
@@ -162,6 +162,12 @@
         boots.slowness(&machine.machine_type, &machine.zone, now)
     }
 
+    /// How many times longer than usual a machine that is not up yet is waited for.
+    pub(super) fn boot_patience_factor(&self, machine: &Machine, now: Instant) -> f64 {
+        let boots = &self.fleet.boot_times;
+        boots.patience(&machine.machine_type, &machine.zone, now)
+    }
+
     /// Seconds until a machine that is rented now is up, if it takes as long as it often
     /// does, and has lately.
     fn boot_s(&self, kind: &MachineType, zone: &str, now: Instant) -> f64 {
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -144,7 +144,8 @@
         }
         let unreported = machine.unreported_for(now);
         let missing = self.reports_missing(machine, now);
-        if missing && unreported >= self.patience(machine, overview.many_unreported) {
+        let many_unreported = overview.many_unreported || in_silent_zone;
+        if missing && unreported >= self.patience(machine, many_unreported) {
             return Some("its worker's reports don't come");
         }
         None
@@ -216,7 +217,7 @@
         let Some(kind) = self.types.get(&*machine.machine_type) else {
             return PATIENCE_WITH_UNKNOWN;
         };
-        let slowness = self.boot_slowness(machine, now);
+        let slowness = self.boot_patience_factor(machine, now);
         let patience = startup(kind).mul_f64(BOOTS_TO_GIVE_UP) + BOOT_ALLOWANCE;
         patience
             .mul_f64(slowness)
@@ -231,10 +232,12 @@
             .filter_map(|capacity| capacity.machine.as_ref())
             .collect();
         let mut back: Vec<(MachineId, &str)> = Vec::new();
+        let mut late: Vec<(Arc<str>, Arc<str>)> = Vec::new();
         for machine in self.machines.values().filter(|m| !m.deleting) {
             let age = now.saturating_duration_since(machine.rented);
             if machine.heard.is_none() && !machine.admitted {
                 if age > self.boot_patience(machine, now) {
+                    late.push((machine.machine_type.clone(), machine.zone.clone()));
                     back.push((machine.id.clone(), "it never came up"));
                 }
                 continue;
@@ -256,6 +259,10 @@
                 back.push((machine.id.clone(), "it is not needed"));
             }
         }
+        for (machine_type, zone) in late {
+            let boots = &mut self.fleet.boot_times;
+            boots.note_given_up(&machine_type, &zone, now);
+        }
         for (id, why) in back {
             self.begin_deletion(&id, now, why);
         }
--- a/src/coordination/shard/snapshots.rs
+++ b/src/coordination/shard/snapshots.rs
@@ -1,14 +1,29 @@
 //! When the shard is snapshotted, and what workers may forget once it is.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
 use super::writes::Finish;
-use super::{Fact, Phase, Shard};
+use super::{Fact, Job, Phase, Shard};
 use crate::protocol::state::Change;
 use crate::protocol::workers::Ending;
 use crate::storage::snapshot;
 
+/// About what a placement takes of a snapshot, and what its job takes.
+const PLACEMENT_BYTES: usize = 18;
+const JOB_BYTES: usize = 54;
+/// Share of the staleness bound that writing all placements may take.
+const PLACEMENT_TIME_SHARE: f64 = 0.5;
+
+/// Where a job's tasks are, by number.
+fn placements(job: &Job) -> Vec<(u32, String)> {
+    let live = job.live().iter();
+    let mut placed: Vec<(u32, String)> = live
+        .map(|(index, machine)| (*index, machine.to_string()))
+        .collect();
+    placed.sort_unstable();
+    placed
+}
+
 impl Shard {
     /// Takes a snapshot if one is due, and queues the chunks that changed.
     pub(super) fn begin_cycle(&mut self, now: Instant) {
@@ -20,18 +35,17 @@
             return;
         }
         self.writes.last_cycle = Some(now);
+        let with_placements = self.placements_fit();
         let rows: Vec<_> = self
             .jobs
             .values()
             .filter(|job| job.over.is_none())
             .map(|job| {
-                let placed = job
-                    .live()
-                    .iter()
-                    .map(|(n, machine)| (*n, machine.to_string()))
-                    .collect::<BTreeMap<_, _>>()
-                    .into_iter()
-                    .collect::<Vec<_>>();
+                let placed = if with_placements {
+                    placements(job)
+                } else {
+                    Vec::new()
+                };
                 (&*job.id, job.done(), placed)
             })
             .collect();
@@ -62,6 +76,21 @@
         self.writes.cycle = true;
     }
 
+    /// Whether a snapshot that tells where all tasks are can be written soon enough. What
+    /// is done has to be in it; placements are only a hint to the next owner, which
+    /// rebuilds them from the reports, and must not hold up the starts.
+    fn placements_fit(&self) -> bool {
+        let bytes_of = |job: &Job| match job.live().len() {
+            0 => 0,
+            placed => placed * PLACEMENT_BYTES + JOB_BYTES,
+        };
+        let bytes: usize = self.jobs.values().map(bytes_of).sum();
+        let seconds = self.policy.staleness.as_secs_f64() * PLACEMENT_TIME_SHARE;
+        let chunks = self.policy.snapshot_writes_per_s * seconds;
+        let room = chunks * self.policy.value_bytes as f64;
+        bytes as f64 <= room
+    }
+
     fn unrecorded_finishes(&self) -> Vec<Finish> {
         let mut finishes = Vec::new();
         for machine in self.machines.values() {
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod meetings;
 mod random;
+mod scale;
 mod script;
 mod scripted;
 mod world;
--- /dev/null
+++ b/src/coordination/shard/tests/scale.rs
@@ -0,0 +1,471 @@
+//! Four thousand machines. Work is counted, not timed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::script::{Script, TERM, listed};
+use super::world::{self, machine_types, policy, record};
+use crate::coordination::shard::{Action, CommandOutcome, Loaded, LoadedMachine, Policy, Shard};
+use crate::protocol::state::Change;
+use crate::protocol::users::JobSpec;
+use crate::protocol::workers::{Command, Report, TaskState};
+use crate::protocol::{MachineId, TaskId};
+use crate::storage::keys;
+use crate::storage::records::RosterRecord;
+use crate::storage::roster::read_page;
+
+const MACHINES: usize = 4_000;
+const TASKS: u32 = 1_000;
+
+/// A job that needn't wait for spot machines.
+fn spec(team: &str, cores: f64, tasks: u32) -> JobSpec {
+    JobSpec {
+        spot: false,
+        ..world::spec(team, cores, tasks)
+    }
+}
+
+fn name(n: usize) -> String {
+    format!("vm-{n:06}")
+}
+
+fn number_of(machine: &MachineId) -> usize {
+    machine["vm-".len()..].parse().expect("a machine")
+}
+
+fn zone(n: usize) -> &'static str {
+    if n % 4 == 0 { "south" } else { "north" }
+}
+
+/// The limits of the smaller deployments: 8 KiB, 8 changes, 20 changes a second.
+fn small_store() -> Policy {
+    Policy {
+        alone: Duration::ZERO,
+        idle: Duration::from_secs(86_400),
+        snapshot_writes_per_s: 10.0,
+        fact_writes_per_s: 6.0,
+        ..policy()
+    }
+}
+
+/// Machines, what truly runs on them, and what the state service holds.
+struct Cluster {
+    script: Script,
+    running: BTreeMap<usize, BTreeSet<(TaskId, u64)>>,
+    store: BTreeMap<String, Value>,
+    changes: usize,
+    started: usize,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let mut script = Script::under(small_store(), Loaded::default());
+        script.actions.clear();
+        Self {
+            script,
+            running: BTreeMap::new(),
+            store: BTreeMap::new(),
+            changes: 0,
+            started: 0,
+        }
+    }
+
+    fn report_of(&mut self, n: usize) -> Report {
+        let term = self.script.shard.term;
+        let tasks = self.running.get(&n).into_iter().flatten();
+        let tasks =
+            tasks.map(|(task, take)| listed(&task.to_string(), *take, TaskState::Running, None));
+        let tasks = tasks.collect();
+        let mut report = self.script.report_of(&name(n), term, tasks);
+        report.zone = zone(n).into();
+        report.addr = format!("10.0.{}.{}:9000", n / 250, n % 250);
+        report
+    }
+
+    fn report_all(&mut self, which: impl Fn(usize) -> bool) {
+        for n in (0..MACHINES).filter(|n| which(*n)) {
+            let report = self.report_of(n);
+            self.script.shard.report(&report, self.script.now);
+        }
+        self.act();
+    }
+
+    /// Settles, and does what is decided: commands are executed and answered, writes are
+    /// applied within the limits.
+    fn act(&mut self) {
+        self.script.shard.settle(self.script.now);
+        loop {
+            let actions = self.script.shard.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.carry_out(action);
+            }
+            self.script.shard.settle(self.script.now);
+        }
+    }
+
+    /// The same where only some machines can be reached; returns how many machines are to
+    /// be deleted, which the cloud never does.
+    fn act_with(&mut self, reachable: impl Fn(usize) -> bool) -> usize {
+        let mut deleted = 0;
+        loop {
+            let actions = self.script.shard.take_actions();
+            if actions.is_empty() {
+                return deleted;
+            }
+            for action in actions {
+                match &action {
+                    Action::Command {
+                        machine,
+                        commands,
+                        number,
+                        ..
+                    } if !reachable(number_of(machine)) => {
+                        let lost = CommandOutcome::NoAnswer;
+                        let now = self.script.now;
+                        self.script
+                            .shard
+                            .command_answered(machine, *number, commands, lost, now);
+                    }
+                    Action::Delete(machines) => deleted += machines.len(),
+                    _ => self.carry_out(action),
+                }
+            }
+            self.script.shard.settle(self.script.now);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Write(write) => {
+                assert!(write.changes.len() < 8, "with the sequence number, eight");
+                self.changes += write.changes.len() + 1;
+                for change in &write.changes {
+                    match change {
+                        Change::Put { key, value, .. } => {
+                            assert!(value.to_string().len() <= 8192);
+                            self.store.insert(key.clone(), value.clone());
+                        }
+                        Change::Delete { key } => {
+                            self.store.remove(key);
+                        }
+                    }
+                }
+                self.script.shard.shard_written(&write, self.script.now);
+            }
+            Action::Command {
+                machine,
+                number,
+                commands,
+                ..
+            } => {
+                let n = number_of(&machine);
+                self.execute(n, &commands);
+                let report = self.report_of(n);
+                let outcome = CommandOutcome::Executed(report);
+                self.script.shard.command_answered(
+                    &machine,
+                    number,
+                    &commands,
+                    outcome,
+                    self.script.now,
+                );
+            }
+            _ => {}
+        }
+    }
+
+    fn execute(&mut self, n: usize, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Launch { task, attempt } => {
+                    let elsewhere = self.running.values().flatten().any(|(t, _)| t == task);
+                    assert!(!elsewhere, "{task} runs twice");
+                    self.started += 1;
+                    let on = self.running.entry(n).or_default();
+                    on.insert((task.clone(), *attempt));
+                }
+                Command::Stop { task, attempt, .. } | Command::Clear { task, attempt } => {
+                    if let Some(on) = self.running.get_mut(&n) {
+                        on.remove(&(task.clone(), *attempt));
+                    }
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.script.now += Duration::from_secs(1);
+            self.script.shard.tick(self.script.now);
+            self.act();
+        }
+    }
+
+    fn tasks_running(&self) -> usize {
+        self.running.values().map(BTreeSet::len).sum()
+    }
+
+    /// The machines of the stored roster.
+    fn roster(&self) -> Vec<LoadedMachine> {
+        let prefix = keys::roster_prefix();
+        let pages = self
+            .store
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix));
+        let machines = pages.flat_map(|(key, value)| {
+            let page = key[prefix.len()..].parse().expect("a page");
+            let machines = read_page(value).expect("a page of the roster");
+            machines
+                .into_iter()
+                .map(move |(id, record)| LoadedMachine { id, page, record })
+        });
+        machines.collect()
+    }
+
+    /// The owner ends; another loads what is stored.
+    fn change_owner(&mut self, jobs: &[(&str, u32)]) {
+        let snapshot = keys::snapshot_prefix();
+        let chunks = self
+            .store
+            .iter()
+            .filter(|(key, _)| key.starts_with(&snapshot));
+        let loaded = Loaded {
+            jobs: jobs
+                .iter()
+                .map(|(id, tasks)| {
+                    (
+                        (*id).to_owned(),
+                        TERM + 1,
+                        record(spec("blue", 8.0, *tasks)),
+                    )
+                })
+                .collect(),
+            roster: self.roster(),
+            chunks: chunks
+                .map(|(key, value)| (key.clone(), value.clone()))
+                .collect(),
+            bookings: Vec::new(),
+        };
+        let term = self.script.shard.term + 10_000;
+        let now = self.script.now;
+        self.script.shard = Shard::take_over(small_store(), term, loaded, now, 0);
+        self.script.shard.set_types(&machine_types());
+    }
+}
+
+/// Four thousand machines are admitted, filled in part, and outlive a change of owner.
+#[test]
+fn four_thousand_machines_change_their_owner() {
+    let mut cluster = Cluster::new();
+    cluster.report_all(|_| true);
+    cluster.pass(40);
+    let admitted = cluster
+        .script
+        .shard
+        .machines()
+        .values()
+        .filter(|m| m.admitted)
+        .count();
+    assert_eq!(admitted, MACHINES);
+    // Pages of some seventy entries, each written a few times at the most.
+    assert!(cluster.changes < 300, "{} changes", cluster.changes);
+    cluster.report_all(|_| true);
+    cluster.script.shard.job_put(
+        "run-1",
+        TERM + 1,
+        record(spec("blue", 8.0, TASKS)),
+        cluster.script.now,
+    );
+    for _ in 0..5 {
+        cluster.report_all(|_| true);
+        cluster.pass(1);
+    }
+    assert_eq!(cluster.tasks_running(), TASKS as usize);
+    let before = cluster.started;
+
+    cluster.change_owner(&[("run-1", TASKS)]);
+    // Every machine is asked at once, and answers.
+    cluster.act();
+    let shard = &cluster.script.shard;
+    assert!(
+        shard.summary().contains("unresolved 0"),
+        "{}",
+        shard.summary()
+    );
+    let job = &shard.jobs()["run-1"];
+    assert_eq!((job.live().len(), job.waiting()), (TASKS as usize, 0));
+    assert_eq!(cluster.started, before, "nothing starts again");
+}
+
+/// A quarter of them is cut off for a minute: its tasks run elsewhere once its leases are
+/// over, its machines are kept, and all have work again when it is back.
+#[test]
+fn four_thousand_machines_lose_a_zone_and_get_it_back() {
+    let mut cluster = Cluster::new();
+    cluster.report_all(|_| true);
+    cluster.pass(40);
+    cluster.report_all(|_| true);
+    let job = record(spec("blue", 8.0, TASKS));
+    cluster
+        .script
+        .shard
+        .job_put("run-1", TERM + 1, job, cluster.script.now);
+    for _ in 0..5 {
+        cluster.report_all(|_| true);
+        cluster.pass(1);
+    }
+    let north = |n: usize| zone(n) == "north";
+    let tasks_in_south = |cluster: &Cluster| -> usize {
+        let south = cluster.running.iter().filter(|(n, _)| !north(**n));
+        south.map(|(_, tasks)| tasks.len()).sum()
+    };
+    let cut = tasks_in_south(&cluster);
+    assert!(cut > 0);
+    // The controllers of that zone can't be reached either.
+    cluster
+        .script
+        .shard
+        .set_cut_off(["south".to_owned()].into());
+    let mut deleted = 0;
+    for second in 0..60 {
+        cluster.script.now += Duration::from_secs(1);
+        cluster.script.shard.tick(cluster.script.now);
+        if second == 25 {
+            // 27 s after their last report, the leases of the others have ended.
+            cluster.running.retain(|n, _| north(*n));
+        }
+        deleted += cluster.act_with(north);
+        if second % 4 == 0 {
+            for n in (0..MACHINES).filter(|n| north(*n)) {
+                let report = cluster.report_of(n);
+                cluster.script.shard.report(&report, cluster.script.now);
+            }
+        }
+    }
+    assert_eq!(
+        cluster.tasks_running(),
+        TASKS as usize,
+        "all run in the north"
+    );
+    assert_eq!(deleted, 0, "the zone may come back");
+    for n in (0..MACHINES).filter(|n| !north(*n)) {
+        let mut report = cluster.report_of(n);
+        report.session = 2;
+        cluster.script.shard.report(&report, cluster.script.now);
+    }
+    let open = cluster.script.shard.machines().values();
+    let open = open
+        .filter(|m| m.session == Some(2) && m.synced && !m.deleting)
+        .count();
+    assert_eq!(open, MACHINES / 4);
+}
+
+fn roster_entry(n: usize) -> RosterRecord {
+    RosterRecord {
+        addr: format!("10.0.{}.{}:9000", n / 250, n % 250),
+        machine_type: "m8".into(),
+        zone: zone(n).into(),
+        spot: n % 3 == 0,
+        returning: false,
+    }
+}
+
+/// Half as many machines again; the limit on values falls while they are being written.
+#[test]
+fn a_roster_of_six_thousand_is_written_split_and_read_back() {
+    use crate::storage::roster::Roster;
+    const ENTRIES: usize = 6_000;
+    let mut roster = Roster::default();
+    for n in 0..ENTRIES {
+        roster.put(&MachineId::from(name(n).as_str()), roster_entry(n), 8192);
+    }
+    let mut store: BTreeMap<String, Value> = BTreeMap::new();
+    let mut writes = 0;
+    let mut limit = 8192;
+    while roster.has_changes() {
+        // The second half of the pages is written under the lower limit, then all again.
+        if writes == 40 {
+            limit = 2048;
+            for n in 0..ENTRIES {
+                if n % 50 == 0 {
+                    roster.put(&MachineId::from(name(n).as_str()), roster_entry(n), limit);
+                }
+            }
+        }
+        match roster.next_change(limit) {
+            Some(Change::Put { key, value, .. }) => {
+                assert!(value.to_string().len() <= limit);
+                store.insert(key, value);
+            }
+            Some(Change::Delete { key }) => {
+                store.remove(&key);
+            }
+            None => {}
+        }
+        writes += 1;
+    }
+    let mut read = Roster::default();
+    let mut names = BTreeSet::new();
+    for (key, value) in &store {
+        let page = key[keys::roster_prefix().len()..].parse().expect("a page");
+        for (id, record) in read_page(value).expect("a page") {
+            read.load(page, MachineId::from(id.as_str()), record);
+            names.insert(id);
+        }
+    }
+    assert_eq!(names.len(), ENTRIES);
+    assert!(writes < 1_000, "{writes} writes");
+}
+
+/// Sixty thousand single tasks: where all of them are would take longer to write than
+/// changes may go unrecorded, so that nothing would be started any more.
+#[test]
+fn a_swarm_of_tasks_does_not_hold_up_the_starts() {
+    let policy = small_store();
+    let staleness = policy.staleness;
+    let machines = 2_000;
+    let mut script = Script::under(policy, Loaded::default());
+    for n in 0..60_000 {
+        let id = format!("run-{n:06}");
+        let job = record(spec("blue", 0.25, 1));
+        script.shard.job_put(&id, TERM + 1, job, script.now);
+    }
+    for n in 0..machines {
+        let tasks = (0..30).map(|k| {
+            let task = format!("run-{:06}/0", n * 30 + k);
+            listed(&task, 7, TaskState::Running, None)
+        });
+        let report = script.report_of(&name(n), TERM, tasks.collect());
+        script.shard.report(&report, script.now);
+    }
+    let mut written = 0.0;
+    let mut stale = 0;
+    for _ in 0..40 {
+        script.now += Duration::from_secs(1);
+        // Something starts every second.
+        script.shard.writes.progress_changed(script.now);
+        script.shard.settle(script.now);
+        loop {
+            let writes: Vec<_> = script.shard.take_actions();
+            let writes = writes.into_iter().filter_map(|action| match action {
+                Action::Write(write) => Some(write),
+                _ => None,
+            });
+            let writes: Vec<_> = writes.collect();
+            if writes.is_empty() {
+                break;
+            }
+            for write in writes {
+                written += write.changes.len() as f64;
+                script.shard.shard_written(&write, script.now);
+            }
+        }
+        stale += usize::from(script.shard.writes.stale(script.now, staleness));
+    }
+    assert_eq!(stale, 0, "{written} changes were written");
+}
--- a/src/transport/internal.rs
+++ b/src/transport/internal.rs
@@ -5,7 +5,7 @@
 
 use axum::Router;
 use axum::body::Bytes;
-use axum::extract::State;
+use axum::extract::{DefaultBodyLimit, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
@@ -18,6 +18,9 @@
 };
 use crate::protocol::peers::{PeerAnswer, PeerRequest, decode_request, encode_answer};
 
+/// Largest frame that is read: twice what a heartbeat's counts may take.
+const MAX_FRAME: usize = 4 << 20;
+
 /// Routes of the internal address.
 pub fn router(node: Arc<Node>) -> Router {
     Router::new()
@@ -25,6 +28,7 @@
         .route(CANCELLATIONS, post(cancellations))
         .route(REVIVE_LEASE, post(vote_on_revival))
         .route("/status", get(status))
+        .layer(DefaultBodyLimit::max(MAX_FRAME))
         .with_state(node)
 }
 
