--- a/src/coordination/shard/tests/scale.rs
+++ b/src/coordination/shard/tests/scale.rs
@@ -36,7 +36,7 @@
 }
 
 fn zone(n: usize) -> &'static str {
-    if n % 4 == 0 { "south" } else { "north" }
+    if n.is_multiple_of(4) { "south" } else { "north" }
 }
 
 /// The limits of the smaller deployments: 8 KiB, 8 changes, 20 changes a second.
@@ -370,7 +370,7 @@
         addr: format!("10.0.{}.{}:9000", n / 250, n % 250),
         machine_type: "m8".into(),
         zone: zone(n).into(),
-        spot: n % 3 == 0,
+        spot: n.is_multiple_of(3),
         returning: false,
     }
 }
@@ -392,7 +392,7 @@
         if writes == 40 {
             limit = 2048;
             for n in 0..ENTRIES {
-                if n % 50 == 0 {
+                if n.is_multiple_of(50) {
                     roster.put(&MachineId::from(name(n).as_str()), roster_entry(n), limit);
                 }
             }
