--- a/src/coordination/peering/delegation.rs
+++ b/src/coordination/peering/delegation.rs
@@ -5,11 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::{HEARTBEAT_FRESH, LISTENING};
 use crate::coordination::advance_delegation;
 use crate::coordination::drift;
 use crate::coordination::lease::{DELEGATION_TIME, ShardLease};
 use crate::coordination::node::{Node, STATE_DEADLINE, random_id};
 use crate::coordination::node_state::Delegation;
+use crate::coordination::shard::Shard;
 use crate::protocol::state::{Change, Item, Txn};
 use crate::protocol::workers::Report;
 use crate::settings::platform::Peer;
@@ -18,11 +20,6 @@
 use crate::storage::keys;
 use crate::storage::records::{DelegateRecord, HearingRecord, InventoryRecord, VERSION};
 
-/// How long a new owner listens before it may call itself deaf: every machine
-/// was asked for a report at once.
-pub(super) const LISTENING: Duration = Duration::from_secs(2);
-/// A peer's heartbeat older than this means that it can't be reached.
-pub(super) const HEARTBEAT_FRESH: Duration = Duration::from_secs(3);
 /// A peer's heartbeat older than this, two rounds, means that it may be cut off.
 const HEARTBEAT_LATE: Duration = Duration::from_millis(2200);
 /// Pause between a delegate's looks at its delegation.
@@ -113,11 +110,7 @@
     let zones = zones_of(node, &unreached);
     node.with_shard(&lease, "delegations", |shard, _| {
         shard.set_cut_off(zones);
-        for label in shard.delegates() {
-            if !unreached.contains(&label) {
-                shard.revoke(&label);
-            }
-        }
+        revoke_all_but(shard, |label| unreached.contains(label));
     });
     if unreached.is_empty() {
         return;
@@ -126,11 +119,7 @@
         return;
     };
     node.with_shard(&lease, "delegations", |shard, now| {
-        for label in shard.delegates() {
-            if !heard.contains_key(&label) {
-                shard.revoke(&label);
-            }
-        }
+        revoke_all_but(shard, |label| heard.contains_key(label));
         for label in unreached.iter().filter(|label| heard.contains_key(*label)) {
             shard.delegate(label, now);
         }
@@ -141,6 +130,15 @@
     }
 }
 
+/// Revokes the delegations of all controllers but those that still need theirs.
+fn revoke_all_but(shard: &mut Shard, needed: impl Fn(&str) -> bool) {
+    for label in shard.delegates() {
+        if !needed(&label) {
+            shard.revoke(&label);
+        }
+    }
+}
+
 /// The controllers that this owner can't reach; None if it isn't one, or has just begun.
 fn unreached_peers(node: &Node) -> Option<(Arc<ShardLease>, BTreeSet<String>)> {
     let now = node.now();
--- a/src/coordination/peering/handover.rs
+++ b/src/coordination/peering/handover.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::delegation::{HEARTBEAT_FRESH, LISTENING, heard_elsewhere};
+use super::delegation::heard_elsewhere;
 use super::reach;
+use super::{HEARTBEAT_FRESH, LISTENING};
 use crate::coordination::node::Node;
 use crate::coordination::ownership::step_down;
 use crate::coordination::shard::MachinesHeard;
--- a/src/coordination/peering/heartbeat.rs
+++ b/src/coordination/peering/heartbeat.rs
@@ -34,7 +34,7 @@
         zone: node.settings.platform.area.clone(),
         state_served,
         workers_heard: inner.workers.len() as u32,
-        up_s: now.saturating_duration_since(node.started).as_secs(),
+        up_s: node.up_time().as_secs(),
         term,
         main_zone: inner.peers.main_zone.clone(),
         progress: Vec::new(),
--- a/src/coordination/shard/tests/scale.rs
+++ b/src/coordination/shard/tests/scale.rs
@@ -36,7 +36,11 @@
 }
 
 fn zone(n: usize) -> &'static str {
-    if n.is_multiple_of(4) { "south" } else { "north" }
+    if n.is_multiple_of(4) {
+        "south"
+    } else {
+        "north"
+    }
 }
 
 /// The limits of the smaller deployments: 8 KiB, 8 changes, 20 changes a second.
--- a/src/protocol/peer_messages.rs
+++ b/src/protocol/peer_messages.rs
@@ -59,7 +59,7 @@
 }
 
 /// Copies a frame to where it may be read: archives are aligned.
-fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
+pub(super) fn aligned(bytes: &[u8]) -> rkyv::util::AlignedVec<16> {
     let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
     aligned.extend_from_slice(bytes);
     aligned
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -2,6 +2,8 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+use super::peer_messages::aligned;
+
 /// A request from one controller to another.
 #[derive(Debug, Clone, Archive, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -90,9 +92,7 @@
 
 /// Decodes and checks a request.
 pub fn decode_request(bytes: &[u8]) -> Option<PeerRequest> {
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<PeerRequest, rkyv::rancor::Error>(&aligned).ok()
+    rkyv::from_bytes::<PeerRequest, rkyv::rancor::Error>(&aligned(bytes)).ok()
 }
 
 /// Encodes an answer.
@@ -104,9 +104,7 @@
 
 /// Decodes and checks an answer.
 pub fn decode_answer(bytes: &[u8]) -> Option<PeerAnswer> {
-    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(bytes.len());
-    aligned.extend_from_slice(bytes);
-    rkyv::from_bytes::<PeerAnswer, rkyv::rancor::Error>(&aligned).ok()
+    rkyv::from_bytes::<PeerAnswer, rkyv::rancor::Error>(&aligned(bytes)).ok()
 }
 
 #[cfg(test)]
