--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -53,7 +53,7 @@
     pub stop_sent: bool,
     /// Its end is on record: the worker may forget it.
     pub clearable: bool,
-    /// It has run far longer than its kin, and its machine was noted for it.
+    /// It has run far longer than others of its job, and its machine was noted for it.
     pub overdue: bool,
 }
 
@@ -233,7 +233,7 @@
     pub idle_since: Option<Instant>,
     /// Jobs that failed on it.
     pub failures: FailureEvidence,
-    /// Tasks that ran far longer on it than their kin elsewhere.
+    /// Tasks that ran far longer on it than others of their jobs elsewhere.
     pub slow_tasks: u32,
     /// Gets no new tasks and is given back when empty.
     pub condemned: bool,
--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -1,4 +1,4 @@
-//! Finding machines that are far slower than their kin.
+//! Finding machines on which tasks run far longer than others of the same job elsewhere.
 
 use std::time::{Duration, Instant};
 
@@ -8,9 +8,9 @@
 
 /// Least number of completed tasks of a job, and least share of its tasks, that
 /// tell how long the others should run: the first to end are the shortest.
-const KIN: u32 = 3;
-const KIN_SHARE: f64 = 0.5;
-/// A task that has run this much longer than its kin is overdue.
+const LEAST_COMPLETED: u32 = 3;
+const LEAST_COMPLETED_SHARE: f64 = 0.5;
+/// A task that has run this much longer than the average of its job is overdue.
 const FAR_SLOWER: f64 = 2.5;
 /// Room for short tasks, whose times say little.
 const ALLOWANCE: Duration = Duration::from_secs(5);
@@ -32,14 +32,15 @@
 
     /// The time past which a task is overdue, once enough are known.
     fn overdue_after(&self, tasks: u32) -> Option<Duration> {
-        let enough = self.count >= KIN && f64::from(self.count) >= f64::from(tasks) * KIN_SHARE;
+        let enough = self.count >= LEAST_COMPLETED
+            && f64::from(self.count) >= f64::from(tasks) * LEAST_COMPLETED_SHARE;
         enough.then(|| (self.total / self.count).mul_f64(FAR_SLOWER) + ALLOWANCE)
     }
 }
 
 impl Shard {
-    /// Gives machines up on which several tasks run far longer than their kin
-    /// do elsewhere: their work moves, as far as it can be saved with it.
+    /// Gives machines up on which several tasks run far longer than others of their
+    /// jobs do elsewhere: their work moves, as far as it can be saved with it.
     pub(super) fn find_slow_machines(&mut self, now: Instant) {
         let mut overdue: Vec<(MachineId, (TaskId, u64))> = Vec::new();
         for job in self.jobs.values() {
@@ -75,7 +76,7 @@
             }
             if machine.slow_tasks >= SLOW_TASKS && !machine.condemned {
                 machine.condemned = true;
-                tracing::info!(machine = %machine.id, "machine given up: far slower than its kin");
+                tracing::info!(machine = %machine.id, "machine given up: its tasks run far longer than others of their jobs");
                 slow.push(machine.id.clone());
             }
         }
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -316,7 +316,7 @@
 }
 
 #[test]
-fn a_machine_far_slower_than_its_kin_is_given_up() {
+fn a_machine_far_slower_than_others_is_given_up() {
     let mut script = Script::new(Loaded::default());
     script.report("vm-1", Vec::new());
     script.report("vm-2", Vec::new());
@@ -343,7 +343,7 @@
     let (quick, slow) = (&batches[0], &batches[1]);
     script.now += Duration::from_secs(10);
     let done = lines(quick, TaskState::Ended, Some(Ending::Done));
-    assert!(done.len() >= 3, "enough kin to compare with");
+    assert!(done.len() >= 3, "enough tasks to compare with");
     script.report(&quick.0, done);
     for _ in 0..21 {
         script.now += Duration::from_secs(1);
