--- a/src/coordination/shard/failures.rs
+++ b/src/coordination/shard/failures.rs
@@ -160,7 +160,7 @@
         self.open.len() < before
     }
 
-    fn condemns(&self) -> bool {
+    fn proves_fault(&self) -> bool {
         self.sound.len() >= SOUND_JOBS_TO_CORDON
     }
 }
@@ -252,8 +252,8 @@
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if machine.failures.condemns() && !machine.condemned {
-            machine.condemned = true;
+        if machine.failures.proves_fault() && !machine.cordoned {
+            machine.cordoned = true;
             tracing::info!(machine = %id, "machine given up: tasks of several jobs failed on it");
         }
     }
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -236,7 +236,7 @@
     /// Tasks that ran far longer on it than others of their jobs elsewhere.
     pub slow_tasks: u32,
     /// Gets no new tasks and is given back when empty.
-    pub condemned: bool,
+    pub cordoned: bool,
     /// Being emptied, so that it can be given back.
     pub draining: bool,
     /// A deletion is under way.
@@ -289,7 +289,7 @@
             idle_since: None,
             failures: FailureEvidence::default(),
             slow_tasks: 0,
-            condemned: false,
+            cordoned: false,
             draining: false,
             deleting: false,
             deletion_retry: None,
@@ -350,7 +350,7 @@
                 .is_some_and(|session| session > self.dead_sessions)
             && !self.commands_fail
             && !self.deleting
-            && !self.condemned
+            && !self.cordoned
             && !self.failures.quarantines(now)
             && !self.draining
             && self.notice.is_none()
--- a/src/coordination/shard/plan/capacity.rs
+++ b/src/coordination/shard/plan/capacity.rs
@@ -235,7 +235,7 @@
     /// Whether a machine is on its way out, or can't be reached.
     fn is_leaving(&self, machine: &Machine) -> bool {
         machine.deleting
-            || machine.condemned
+            || machine.cordoned
             || machine.notice.is_some()
             || machine.vanished
             || (machine.heard.is_none() && self.cut_off.contains(&*machine.zone))
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -249,7 +249,7 @@
             let idle = machine
                 .idle_since
                 .is_some_and(|since| now.saturating_duration_since(since) >= self.policy.idle);
-            if machine.condemned || machine.draining || machine.notice.is_some() {
+            if machine.cordoned || machine.draining || machine.notice.is_some() {
                 back.push((machine.id.clone(), "it is empty and gets no more tasks"));
             } else if idle
                 && self.unresolved.is_empty()
--- a/src/coordination/shard/slowness.rs
+++ b/src/coordination/shard/slowness.rs
@@ -74,8 +74,8 @@
                 attempt.overdue = true;
                 machine.slow_tasks += 1;
             }
-            if machine.slow_tasks >= SLOW_TASKS && !machine.condemned {
-                machine.condemned = true;
+            if machine.slow_tasks >= SLOW_TASKS && !machine.cordoned {
+                machine.cordoned = true;
                 tracing::info!(machine = %machine.id, "machine given up: its tasks run far longer than others of their jobs");
                 slow.push(machine.id.clone());
             }
--- a/src/coordination/shard/tests/failures.rs
+++ b/src/coordination/shard/tests/failures.rs
@@ -105,8 +105,8 @@
     for _ in 0..300 {
         second(&mut script, &MACHINES, &fails_everywhere);
     }
-    let condemned = |id: &&&str| script.machine(id).condemned;
-    assert_eq!(MACHINES.iter().filter(condemned).count(), 0);
+    let cordoned = |id: &&&str| script.machine(id).cordoned;
+    assert_eq!(MACHINES.iter().filter(cordoned).count(), 0);
     assert_eq!(script.shard.jobs()["run-1"].live().len(), 6);
     script.submit("run-2", spec("blue", 1.0, 20));
     second(&mut script, &MACHINES, &fails_everywhere);
@@ -163,7 +163,7 @@
         second(&mut script, &MACHINES, &faulty);
     }
     let machine = script.machine("vm-1");
-    assert!(!machine.condemned, "the jobs may be at fault");
+    assert!(!machine.cordoned, "the jobs may be at fault");
     assert!(!machine.open(script.now, &script.shard.policy));
     for id in &MACHINES[1..] {
         complete(&mut script, id);
--- a/src/coordination/shard/tests/scripted.rs
+++ b/src/coordination/shard/tests/scripted.rs
@@ -354,8 +354,8 @@
         *machine == slow.0 && commands.iter().any(|c| matches!(c, Command::Stop { .. }))
     });
     assert!(stopped, "its tasks move");
-    assert!(script.machine(&slow.0).condemned);
-    assert!(!script.machine(&quick.0).condemned);
+    assert!(script.machine(&slow.0).cordoned);
+    assert!(!script.machine(&quick.0).cordoned);
 }
 
 /// Found on a hunt: tasks that an earlier owner had started seemed to have run
@@ -384,7 +384,7 @@
         script.report("vm-1", later(5));
         script.pass(Duration::ZERO);
     }
-    assert!(!script.machine("vm-1").condemned);
+    assert!(!script.machine("vm-1").cordoned);
 }
 
 #[test]
