--- a/src/coordination/job_watch.rs
+++ b/src/coordination/job_watch.rs
@@ -12,13 +12,13 @@
 use crate::storage::keys;
 
 /// How long one watch waits.
-const WATCH: Duration = Duration::from_secs(3);
+const JOBS_WATCH: Duration = Duration::from_secs(3);
 
 /// Tells the shard of accepted and ended jobs, from a revision on, until the lease ends.
 pub async fn watch_jobs(node: Arc<Node>, lease: Arc<ShardLease>, mut revision: u64) {
     let mut attempt = 0;
     while !lease.ended() {
-        let followed = match node.state.follow(keys::JOBS, revision, WATCH).await {
+        let followed = match node.state.follow(keys::JOBS, revision, JOBS_WATCH).await {
             Ok(page) => {
                 revision = page.revision.max(revision);
                 tell_changes(&node, &lease, page.events);
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -31,7 +31,7 @@
 /// Pause between two summaries in the log.
 const SUMMARY: Duration = Duration::from_secs(30);
 /// How long one watch waits.
-const WATCH: Duration = Duration::from_secs(3);
+const OWNER_WATCH: Duration = Duration::from_secs(3);
 /// Share of the lease without a renewal past which an owner sees trouble.
 const TROUBLE: f64 = 0.6;
 /// Pause between two tries to renew a lease in trouble.
@@ -106,7 +106,7 @@
             Some(_) => {
                 let page = node
                     .state
-                    .follow(&keys::owner_prefix(), revision, WATCH)
+                    .follow(&keys::owner_prefix(), revision, OWNER_WATCH)
                     .await?;
                 for event in page.events {
                     if let News::Delete { key, .. } = event
--- a/src/coordination/shard/commands.rs
+++ b/src/coordination/shard/commands.rs
@@ -9,7 +9,7 @@
 use crate::protocol::{MachineId, TaskId};
 
 /// Pause before commands are sent again by themselves; reports carry them too.
-const RETRY: Duration = Duration::from_secs(1);
+const COMMAND_RETRY: Duration = Duration::from_secs(1);
 /// Silence past the latest usual report after which a worker is asked.
 const PROBE_LATE: Duration = Duration::from_millis(750);
 
@@ -187,7 +187,7 @@
                 }
             }
             CommandOutcome::NotSent | CommandOutcome::NoAnswer => {
-                machine.command_retry = Some(now + RETRY);
+                machine.command_retry = Some(now + COMMAND_RETRY);
                 machine.unanswered += 1;
                 machine.commands_fail = true;
             }
--- a/src/coordination/shard/fleet.rs
+++ b/src/coordination/shard/fleet.rs
@@ -29,7 +29,7 @@
 const LONGEST_REFUSAL: u32 = 3;
 
 /// Pause before a rental or a deletion is tried again.
-pub(super) const RETRY: Duration = Duration::from_secs(1);
+pub(super) const CLOUD_RETRY: Duration = Duration::from_secs(1);
 
 /// What became of a rental request.
 #[derive(Debug, Clone, PartialEq)]
@@ -234,7 +234,7 @@
         let key = MachineKind::of(&rental);
         match outcome {
             RentalOutcome::Unknown => {
-                booking.retry = Some(now + RETRY);
+                booking.retry = Some(now + CLOUD_RETRY);
                 return;
             }
             RentalOutcome::Rented(names) => {
--- a/src/coordination/shard/machines.rs
+++ b/src/coordination/shard/machines.rs
@@ -104,7 +104,7 @@
 }
 
 /// What sums of amounts may be off by.
-const SLACK: f64 = 1e-9;
+const AMOUNT_ROUNDING: f64 = 1e-9;
 
 /// What a machine can hold or what is held on it.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -161,7 +161,7 @@
 
     /// Whether a task of a job fits.
     pub fn holds(&self, spec: &JobSpec) -> bool {
-        let fits = |have: f64, need: f64| need <= 0.0 || have + SLACK >= need;
+        let fits = |have: f64, need: f64| need <= 0.0 || have + AMOUNT_ROUNDING >= need;
         fits(self.cores, spec.cores)
             && fits(self.accelerators, spec.accelerators)
             && fits(self.mem_gb, spec.mem_gb)
@@ -173,7 +173,7 @@
             if need <= 0.0 {
                 f64::INFINITY
             } else {
-                ((have + SLACK) / need).floor()
+                ((have + AMOUNT_ROUNDING) / need).floor()
             }
         };
         let n = ratio(self.cores, spec.cores)
--- a/src/coordination/shard/placement/usage.rs
+++ b/src/coordination/shard/placement/usage.rs
@@ -7,7 +7,7 @@
 use crate::protocol::users::JobSpec;
 
 /// What sums of amounts may be off by.
-const SLACK: f64 = 1e-6;
+const LIMIT_ROUNDING: f64 = 1e-6;
 
 /// What the teams may be using, counting all that might exist.
 #[derive(Debug, Default, Clone)]
@@ -67,7 +67,7 @@
         };
         let used = usage.of(&spec.team);
         let fits = |used: f64, unknown: f64, more: f64, most: f64| {
-            most <= 0.0 || more <= 0.0 || used + unknown + more <= most + SLACK
+            most <= 0.0 || more <= 0.0 || used + unknown + more <= most + LIMIT_ROUNDING
         };
         fits(used.cores, usage.unknown.cores, spec.cores, team.cores_max)
             && fits(
@@ -86,8 +86,8 @@
     ) -> bool {
         self.policy.teams.get(&spec.team).is_some_and(|team| {
             let used = usage.of(&spec.team);
-            used.cores + spec.cores <= team.cores + SLACK
-                && used.accelerators + spec.accelerators <= team.accelerators + SLACK
+            used.cores + spec.cores <= team.cores + LIMIT_ROUNDING
+                && used.accelerators + spec.accelerators <= team.accelerators + LIMIT_ROUNDING
         })
     }
 
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::fleet::{LEAST_CHARGE, MachineKind, RETRY};
+use super::fleet::{CLOUD_RETRY, LEAST_CHARGE, MachineKind};
 use super::plan::{Capacity, startup};
 use super::{Action, Machine, Shard};
 use crate::protocol::MachineId;
@@ -205,7 +205,7 @@
                 }
                 self.gone.insert(id.clone(), now);
             } else if let Some(machine) = self.machines.get_mut(id) {
-                machine.deletion_retry = Some(now + RETRY);
+                machine.deletion_retry = Some(now + CLOUD_RETRY);
             }
         }
         self.needs_pass = true;
--- a/src/storage/roster.rs
+++ b/src/storage/roster.rs
@@ -12,7 +12,7 @@
 use crate::protocol::state::Change;
 
 /// Room left in a page for its frame.
-const FRAME: usize = 64;
+const PAGE_FRAME: usize = 64;
 /// What an entry takes beside its name and record: quotes, a colon and a comma.
 const ENTRY: usize = 4;
 
@@ -72,7 +72,7 @@
     pub fn put(&mut self, id: &MachineId, record: RosterRecord, value_bytes: usize) {
         self.remove(id);
         let bytes = size(id, &record);
-        let room = value_bytes.saturating_sub(FRAME);
+        let room = value_bytes.saturating_sub(PAGE_FRAME);
         // A new page if none has room: the first number that is free.
         let free = (0..).find(|n| {
             self.pages
@@ -91,7 +91,7 @@
     /// under a larger limit can't be written again as it is. What moves is written
     /// before what it leaves, so that no entry is ever missing.
     fn split(&mut self, value_bytes: usize) {
-        let room = value_bytes.saturating_sub(FRAME);
+        let room = value_bytes.saturating_sub(PAGE_FRAME);
         let too_large = |at: &u32| self.pages.get(at).is_some_and(|page| page.bytes > room);
         let large: Vec<u32> = self.changed.iter().copied().filter(too_large).collect();
         for at in large {
--- a/src/storage/snapshot.rs
+++ b/src/storage/snapshot.rs
@@ -15,7 +15,7 @@
 /// Chunks that jobs are spread over by their id.
 const BUCKETS: usize = 8;
 /// Room left in a chunk for its frame.
-const FRAME: usize = 64;
+const CHUNK_FRAME: usize = 64;
 /// Longest piece of one job, in bytes of text, and in parts of a value.
 const PIECE: usize = 1024;
 const PIECES: usize = 4;
@@ -89,7 +89,7 @@
             });
         }
     }
-    let room = value_bytes.saturating_sub(FRAME);
+    let room = value_bytes.saturating_sub(CHUNK_FRAME);
     let mut chunks = BTreeMap::new();
     for (bucket, pieces) in buckets.into_iter().enumerate() {
         let mut part = 0;
