--- a/src/coordination/shard/reports.rs
+++ b/src/coordination/shard/reports.rs
@@ -314,54 +314,92 @@
         let Some(attempt) = machine.attempts.get_mut(key) else {
             return;
         };
-        let asked = attempt.stop.is_some();
-        let began = attempt.began;
-        let typical = !attempt.overdue && !attempt.adopted;
-        let ran = attempt
-            .running_since
-            .map(|since| now.saturating_duration_since(since));
-        tracing::debug!(machine = %id, %task, ?ending, asked, "attempt ended");
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let ended = EndedAttempt::of(attempt, now);
+        tracing::debug!(machine = %id, %task, ?ending, asked = ended.asked, "attempt ended");
+        let Some(job) = self.jobs.get(&task.job) else {
             attempt.clearable = true;
             return;
         };
         // A finish stays listed until it is on record; anything else is only
         // of interest to this owner.
         attempt.clearable = ending != Ending::Done || job.over.is_some();
+        self.take_ending(id, task, ending, &ended, now);
+        self.release(id, task);
+        self.finish_if_done(&task.job.clone());
+    }
+
+    /// What an attempt's end means for its job.
+    fn take_ending(
+        &mut self,
+        id: &MachineId,
+        task: &TaskId,
+        ending: Ending,
+        ended: &EndedAttempt,
+        now: Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         match ending {
-            Ending::Done if job.spec.is_gang() => {
-                // All tasks of a gang complete together, also those of which nobody
-                // will hear again, since their machine was lost at that moment.
-                self.writes.progress_changed(now);
-                let job = job.id.clone();
-                self.task_succeeded(&job);
-                self.gang_task_done(&job);
-            }
-            Ending::Done => {
-                job.complete(task.index);
-                if let Some(ran) = ran.filter(|_| typical) {
-                    job.ran.note(ran);
-                }
-                self.writes.progress_changed(now);
-                self.task_succeeded(&task.job);
-            }
-            Ending::Error if !asked && job.over.is_none() => {
-                self.attempt_failed(&task.job, id, began, ran.unwrap_or_default(), now);
+            Ending::Done => self.task_done(task, ended, now),
+            Ending::Error if !ended.asked && job.over.is_none() => {
+                let ran = ended.ran.unwrap_or_default();
+                self.attempt_failed(&task.job, id, ended.began, ran, now);
             }
             Ending::NoRoom | Ending::Busy | Ending::Unknown | Ending::Other => {
-                job.not_before = Some(now + Duration::from_millis(500));
-            }
-            Ending::Alone => {
-                let job = job.id.clone();
-                self.gang_came_apart(&job, now);
+                job.not_before = Some(now + REFUSED_START_PAUSE);
             }
+            Ending::Alone => self.gang_came_apart(&task.job, now),
             Ending::Error | Ending::Stopped | Ending::Peers => {}
         }
-        self.release(id, task);
-        self.finish_if_done(&task.job.clone());
+    }
+
+    fn task_done(&mut self, task: &TaskId, ended: &EndedAttempt, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        self.writes.progress_changed(now);
+        if job.spec.is_gang() {
+            // All tasks of a gang complete together, also those of which nobody
+            // will hear again, since their machine was lost at that moment.
+            self.gang_task_done(&task.job);
+        } else {
+            job.complete(task.index);
+            if let Some(ran) = ended.ran.filter(|_| ended.typical) {
+                job.ran.note(ran);
+            }
+        }
+        self.task_succeeded(&task.job);
     }
 }
 
+/// What is known of an attempt that has ended.
+struct EndedAttempt {
+    /// It was told to stop.
+    asked: bool,
+    /// Its run time may be compared with others.
+    typical: bool,
+    /// When it was decided, or first seen.
+    began: Instant,
+    /// How long it was seen running.
+    ran: Option<Duration>,
+}
+
+impl EndedAttempt {
+    fn of(attempt: &Attempt, now: Instant) -> Self {
+        let since = attempt.running_since;
+        Self {
+            asked: attempt.stop.is_some(),
+            typical: !attempt.overdue && !attempt.adopted,
+            began: attempt.began,
+            ran: since.map(|since| now.saturating_duration_since(since)),
+        }
+    }
+}
+
+/// Pause before a job's tasks are started again after a worker refused one.
+const REFUSED_START_PAUSE: Duration = Duration::from_millis(500);
+
 /// Images that a machine is taken to cache; the worker decides what it keeps.
 const IMAGES_REMEMBERED: usize = 12;
 
