--- a/src/coordination/peering/heartbeat.rs
+++ b/src/coordination/peering/heartbeat.rs
@@ -69,10 +69,17 @@
     rows
 }
 
+/// What this node says of itself and, if it runs the shard, of the jobs.
+pub fn owners_heartbeat(node: &Node) -> Heartbeat {
+    Heartbeat {
+        progress: progress(node),
+        ..own_heartbeat(node)
+    }
+}
+
 /// Sends a heartbeat to every other controller; the answers are taken in as they come.
 pub(super) fn send_to_all(node: &Arc<Node>) {
-    let mut own = own_heartbeat(node);
-    own.progress = progress(node);
+    let own = owners_heartbeat(node);
     for peer in &node.settings.platform.others {
         let (node, peer) = (node.clone(), peer.clone());
         let (request, told) = (PeerRequest::Heartbeat(own.clone()), own.term);
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -13,5 +13,6 @@
 mod scale;
 mod script;
 mod scripted;
+mod standstill;
 mod world;
 mod zones;
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -3,6 +3,7 @@
 mod cancellation_knowledge;
 mod peering;
 mod reach;
+mod scale;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/coordination/tests/scale.rs
@@ -0,0 +1,121 @@
+//! What controllers say to one another of very many jobs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use tokio::net::TcpListener;
+
+use super::peering::own;
+use super::{node, peer, report};
+use crate::clock::FakeClock;
+use crate::coordination::node::Node;
+use crate::coordination::peering::heartbeat::{note_heartbeat, owners_heartbeat};
+use crate::coordination::shard::TaskCounts;
+use crate::protocol::TaskId;
+use crate::protocol::peers::{PeerRequest, encode_request};
+use crate::protocol::workers::{TaskReport, TaskState};
+use crate::storage::records::{JobRecord, VERSION};
+use crate::transport::client::HttpClient;
+use crate::transport::internal;
+
+const TERM: u64 = 7;
+const JOBS: u32 = 100_000;
+const BEGUN: u32 = 40_000;
+const TASKS_ON_ONE: usize = 200;
+
+const SUBMISSION: &str = r#"{"NameId":"run-1","Repertoire":"sums","Section":"red","Form":"batch",
+    "Tempo":"standard","Voices":1,"Cores":0.25,"Accelerators":0.0,"MemGb":0.5,"Score":"img-0",
+    "ImageGb":1.0,"Instruments":null,"Hall":null,"OneZone":false,"Scatter":false,"Borrowed":true,
+    "DurationS":10.0,"BreathS":0.0,"FermataS":0.0,"CurtainS":null}"#;
+
+/// An owner of very many jobs of one task, some of which run.
+fn owner_of_many_jobs(node: &Arc<Node>) {
+    let lease = own(node, TERM);
+    let parsed = crate::protocol::users::parse_submission(SUBMISSION.as_bytes());
+    let (_, spec) = parsed.expect("a submission");
+    node.with_shard(&lease, "jobs", |shard, now| {
+        for n in 0..JOBS {
+            let record = JobRecord {
+                v: VERSION,
+                at_ms: 0,
+                spec: spec.clone(),
+            };
+            shard.job_put(&format!("run-{n:06}"), TERM + 1, record, now);
+        }
+        for first in (0..BEGUN).step_by(TASKS_ON_ONE) {
+            let mut running = report(TERM);
+            running.machine = format!("vm-{first:06}");
+            running.tasks = (first..first + TASKS_ON_ONE as u32)
+                .map(|n| TaskReport {
+                    task: TaskId::parse(&format!("run-{n:06}/0")).expect("a task"),
+                    attempt: 9,
+                    state: TaskState::Running,
+                    ending: None,
+                })
+                .collect();
+            shard.report(&running, now);
+        }
+        shard.tick(now);
+    });
+}
+
+/// A heartbeat told of every unfinished job: at 75,000 it was larger than what its receiver
+/// reads, and its sender seemed to be gone.
+#[tokio::test]
+async fn the_heartbeat_of_an_owner_of_a_hundred_thousand_jobs_is_read() {
+    let clock = Arc::new(FakeClock::new());
+    let (sender, receiver) = (node(clock.clone()), peer(clock.clone()));
+    owner_of_many_jobs(&sender);
+    let heartbeat = owners_heartbeat(&sender);
+    assert_eq!(heartbeat.progress.len(), BEGUN as usize);
+    let frame = encode_request(&PeerRequest::Heartbeat(heartbeat.clone()));
+    // What versions read that know no larger frames.
+    assert!(frame.len() < 2 << 20, "{} bytes", frame.len());
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let addr = listener.local_addr().expect("its address");
+    let router = internal::router(receiver.clone());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let deadline = Duration::from_secs(10);
+    let client = HttpClient::new();
+    let sent = client.call(Method::POST, addr, "/peer", frame, deadline);
+    assert_eq!(sent.await.expect("an answer").status, StatusCode::OK);
+    let counts = |job: &str| receiver.lock().peers.progress.get(job).copied();
+    let running = TaskCounts {
+        done: 0,
+        running: 1,
+    };
+    assert_eq!(counts("run-000007"), Some(running));
+    assert_eq!(counts("run-099999"), None, "nothing of it has begun");
+}
+
+/// When nothing runs any more, that is said as well.
+#[test]
+fn counts_of_jobs_that_run_no_more_are_not_kept() {
+    let clock = Arc::new(FakeClock::new());
+    let (sender, receiver) = (node(clock.clone()), peer(clock.clone()));
+    let lease = own(&sender, TERM);
+    let parsed = crate::protocol::users::parse_submission(SUBMISSION.as_bytes());
+    let (id, spec) = parsed.expect("a submission");
+    let record = JobRecord {
+        v: VERSION,
+        at_ms: 0,
+        spec,
+    };
+    sender.with_shard(&lease, "jobs", |shard, now| {
+        shard.job_put(&id, TERM + 1, record, now)
+    });
+    receiver.lock().peers.progress.insert(
+        id.clone(),
+        TaskCounts {
+            done: 0,
+            running: 1,
+        },
+    );
+    note_heartbeat(&receiver, owners_heartbeat(&sender));
+    assert_eq!(
+        receiver.lock().peers.progress.get(&id).copied(),
+        Some(TaskCounts::default())
+    );
+}
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -246,65 +246,116 @@
     }
 
     fn check(&self, file: &str) -> Result<(), SettingsError> {
-        let fail = |field: &str, why: &str| {
-            Err(SettingsError::Field {
+        let broken = self.rules().into_iter().find(|rule| !rule.holds);
+        match broken {
+            None => Ok(()),
+            Some(rule) => Err(SettingsError::Field {
                 file: file.to_owned(),
-                field: field.to_owned(),
-                why: why.to_owned(),
-            })
-        };
-        if self.label.is_empty() {
-            return fail("label", "must not be empty");
+                field: rule.field.to_owned(),
+                why: rule.why.to_owned(),
+            }),
         }
-        if self.others.iter().any(|peer| peer.label == self.label) {
-            return fail("others", "names this node itself");
-        }
-        let s = &self.settings;
-        if s.teams.is_empty() {
-            return fail("settings.teams", "must not be empty");
-        }
-        let next = s.state.next.clone().unwrap_or_default();
-        for (field, value) in [
-            ("settings.workers.report_s", s.workers.report_s),
-            ("settings.workers.lease_s", s.workers.lease_s),
-            ("settings.workers.cancel_s", s.workers.cancel_s),
-            ("settings.workers.gang_wait_s", s.workers.gang_wait_s),
-            ("settings.workers.gang_peer_s", s.workers.gang_peer_s),
-            ("settings.state.rps", s.state.rps),
-            ("settings.state.write_rps", s.state.write_rps),
-            ("settings.state.value_kb", s.state.value_kb),
-            ("settings.cloud.rps", s.cloud.rps),
+    }
+
+    /// What has to hold, in the order in which it is checked.
+    fn rules(&self) -> Vec<Rule> {
+        let named = |field, holds, why| Rule { field, holds, why };
+        let settings = &self.settings;
+        let itself = self.others.iter().any(|peer| peer.label == self.label);
+        let mut rules = vec![
+            named("label", !self.label.is_empty(), "must not be empty"),
+            named("others", !itself, "names this node itself"),
+            named(
+                "settings.teams",
+                !settings.teams.is_empty(),
+                "must not be empty",
+            ),
+        ];
+        rules.extend(settings.positive_numbers().map(|(field, value)| {
+            let holds = value.is_finite() && value > 0.0 && value < MOST;
+            named(field, holds, "must be a number above 0")
+        }));
+        let workers = &settings.workers;
+        let state = &settings.state;
+        let next_ops = state.next.as_ref().and_then(|next| next.txn_ops);
+        let lag = settings.cloud.list_lag_s;
+        let amounts = settings.teams.iter().flat_map(Team::amounts);
+        rules.extend([
+            named(
+                "settings.workers.lease_s",
+                workers.lease_s > workers.report_s,
+                "must be above report_s",
+            ),
+            named(
+                "settings.state.txn_ops",
+                state.txn_ops >= LEAST_CHANGES,
+                "must be at least 3",
+            ),
+            named(
+                "settings.state.next.txn_ops",
+                next_ops.is_none_or(|changes| changes >= LEAST_CHANGES),
+                "must be at least 3",
+            ),
+            named(
+                "settings.cloud.list_lag_s",
+                is_amount(lag),
+                "must be a number of 0 or more",
+            ),
+            named(
+                "settings.teams",
+                amounts.into_iter().all(is_amount),
+                "amounts must be numbers of 0 or more",
+            ),
+        ]);
+        rules
+    }
+}
+
+/// Something that has to hold of a field.
+struct Rule {
+    field: &'static str,
+    holds: bool,
+    why: &'static str,
+}
+
+/// Numbers from here on are not taken as meant.
+const MOST: f64 = 1e9;
+
+/// Changes that a transaction has to allow: the sequence number, and a job's two records.
+const LEAST_CHANGES: usize = 3;
+
+fn is_amount(value: f64) -> bool {
+    value.is_finite() && value >= 0.0
+}
+
+impl Team {
+    fn amounts(&self) -> [f64; 4] {
+        [self.cpus, self.cpus_max, self.gpus, self.gpus_max]
+    }
+}
+
+impl Parameters {
+    /// The numbers that have to be above 0; what isn't given counts as 1.
+    fn positive_numbers(&self) -> impl Iterator<Item = (&'static str, f64)> {
+        let next = self.state.next.clone().unwrap_or_default();
+        [
+            ("settings.workers.report_s", self.workers.report_s),
+            ("settings.workers.lease_s", self.workers.lease_s),
+            ("settings.workers.cancel_s", self.workers.cancel_s),
+            ("settings.workers.gang_wait_s", self.workers.gang_wait_s),
+            ("settings.workers.gang_peer_s", self.workers.gang_peer_s),
+            ("settings.state.rps", self.state.rps),
+            ("settings.state.write_rps", self.state.write_rps),
+            ("settings.state.value_kb", self.state.value_kb),
+            ("settings.cloud.rps", self.cloud.rps),
             ("settings.state.next.rps", next.rps.unwrap_or(1.0)),
             (
                 "settings.state.next.write_rps",
                 next.write_rps.unwrap_or(1.0),
             ),
             ("settings.state.next.value_kb", next.value_kb.unwrap_or(1.0)),
-        ] {
-            if !(value.is_finite() && value > 0.0 && value < 1e9) {
-                return fail(field, "must be a number above 0");
-            }
-        }
-        if s.workers.lease_s <= s.workers.report_s {
-            return fail("settings.workers.lease_s", "must be above report_s");
-        }
-        if s.state.txn_ops < 3 {
-            return fail("settings.state.txn_ops", "must be at least 3");
-        }
-        if next.txn_ops.is_some_and(|n| n < 3) {
-            return fail("settings.state.next.txn_ops", "must be at least 3");
-        }
-        if !(s.cloud.list_lag_s.is_finite() && s.cloud.list_lag_s >= 0.0) {
-            return fail("settings.cloud.list_lag_s", "must be a number of 0 or more");
-        }
-        for team in &s.teams {
-            for value in [team.cpus, team.cpus_max, team.gpus, team.gpus_max] {
-                if !(value.is_finite() && value >= 0.0) {
-                    return fail("settings.teams", "amounts must be numbers of 0 or more");
-                }
-            }
-        }
-        Ok(())
+        ]
+        .into_iter()
     }
 }
 
