--- a/src/coordination/shard/plan/capacity.rs
+++ b/src/coordination/shard/plan/capacity.rs
@@ -53,6 +53,8 @@
     pub readiness: Readiness,
     /// Seconds until its machine is up, if it takes as long as it often does.
     pub ready_in_s: f64,
+    /// Machines of its kind come much later than usual.
+    pub late: bool,
 }
 
 /// Tasks of one job that run on a machine and give way to higher priorities.
@@ -75,6 +77,7 @@
             used: false,
             readiness: Readiness::Coming,
             ready_in_s,
+            late: false,
         }
     }
 
@@ -196,6 +199,7 @@
             used: false,
             readiness,
             ready_in_s,
+            late: coming && self.boot_slowness(machine, now) > LATEST_START,
         })
     }
 
@@ -211,10 +215,15 @@
                 .is_some_and(|digit| digit % 2 == 0)
     }
 
-    /// Takes in which machines are not up though they should be.
+    /// Takes in which machines are not up though they should be. In a zone of which nothing
+    /// is heard they may well be up.
     pub(super) fn note_overdue_boots(&mut self, now: Instant) {
+        let silent_zones = self.silent_zones(now);
         let coming = self.machines.values().filter(|machine| {
-            machine.heard.is_none() && !machine.admitted && !self.is_leaving(machine)
+            machine.heard.is_none()
+                && !machine.admitted
+                && !self.is_leaving(machine)
+                && !silent_zones.contains(&machine.zone)
         });
         let overdue = coming.filter_map(|machine| {
             let kind = self.types.get(&*machine.machine_type)?;
--- a/src/coordination/shard/plan/mod.rs
+++ b/src/coordination/shard/plan/mod.rs
@@ -45,7 +45,7 @@
             if too_costly
                 || !allowed(spec, &capacity.machine_type, &capacity.zone, capacity.spot)
                 || !capacity.could_hold(spec)
-                || capacity.ready_in_s > latest_s
+                || ((capacity.late || spec.is_gang()) && capacity.ready_in_s > latest_s)
                 || zone.is_some_and(|zone| zone != &*capacity.zone)
             {
                 continue;
--- a/src/coordination/shard/returns.rs
+++ b/src/coordination/shard/returns.rs
@@ -93,6 +93,13 @@
         machine.heard.is_some() && machine.unreported_for(now) >= self.policy.report_overdue()
     }
 
+    /// The zones of which next to nothing is heard.
+    pub(super) fn silent_zones(&self, now: Instant) -> HashSet<Arc<str>> {
+        let expected = self.machines.values().filter(|m| m.should_report());
+        let is_silent = |m: &&Machine| self.silence_under_us(m, now) >= self.policy.suspect;
+        silent_zones(expected.clone(), expected.filter(is_silent))
+    }
+
     /// How much is silent at once: when it is much, the trouble is more likely ours.
     fn silence_overview(&self, now: Instant) -> SilenceOverview {
         let expected = self.machines.values().filter(|m| m.should_report());
@@ -100,10 +107,10 @@
         let much = |count: usize| count > 1 && count * 3 > total;
         let silent = expected.clone();
         let silent = silent.filter(|m| self.silence_under_us(m, now) >= self.policy.suspect);
-        let unreported = expected.clone().filter(|m| self.reports_missing(m, now));
+        let unreported = expected.filter(|m| self.reports_missing(m, now));
         SilenceOverview {
-            many_silent: much(silent.clone().count()),
-            silent_zones: silent_zones(expected.clone(), silent),
+            many_silent: much(silent.count()),
+            silent_zones: self.silent_zones(now),
             late_boots: self.fleet.boot_times.in_trouble(now),
             many_unreported: much(unreported.count()),
             // The last few that nobody can account for hold up all that waits; when
--- a/src/coordination/shard/tests/late_machines.rs
+++ b/src/coordination/shard/tests/late_machines.rs
@@ -179,3 +179,40 @@
     assert_eq!(script.shard.jobs()["run-1"].live().len(), 1);
     assert_eq!(ordinary, 0);
 }
+
+/// A zone is cut off just as machines boot there: these may be up, and say nothing of how
+/// long others take.
+#[test]
+fn machines_that_are_awaited_in_a_silent_zone_are_no_trouble_with_boots() {
+    let mut rented = Rented::for_work();
+    rented.pass(1);
+    let first: Vec<String> = rented.machines.iter().map(|(n, _)| n.clone()).collect();
+    for name in &first {
+        rented.come_up(name);
+    }
+    let zone = rented.script.machine(&first[0]).zone.clone();
+    let more = JobSpec {
+        spot: false,
+        ..spec("blue", 8.0, 10)
+    };
+    rented.script.submit("run-2", more);
+    // Longer than arrivals show that machines come up, and less than these are waited for.
+    for _ in 0..65 {
+        rented.pass(1);
+        let machines = rented.script.shard.machines().values();
+        let heard = machines.filter(|machine| machine.zone != zone);
+        let heard: Vec<String> = heard.map(|machine| machine.id.to_string()).collect();
+        for name in heard {
+            let mut report = rented.script.running(&name);
+            report.zone = rented.script.machine(&name).zone.to_string();
+            rented.script.shard.report(&report, rented.script.now);
+        }
+    }
+    let now = rented.script.now;
+    let shard = &rented.script.shard;
+    let awaited = shard.machines().values();
+    let awaited = awaited.filter(|m| m.zone == zone && m.heard.is_none());
+    assert!(awaited.count() >= 3);
+    assert!(shard.silent_zones(now).contains(&zone));
+    assert_eq!(shard.fleet.boot_times.slowness("m8", &zone, now), 1.0);
+}
