Review case: a gang without machines keeps batch work off machines it can't use

Cause: machines are reserved for a waiting gang whether or not they can hold its tasks, without an end.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -553,6 +553,7 @@
     def __init__(self, world, types, capacity):
         self.world, self.types, self.capacity = world, types, capacity
         self.machines, self.granted, self.last = {}, {}, 0
+        self.exhausted = set()      # the types of which there are no more machines
 
     async def add(self, kind, zone, spot, boot_s=0.0, held_s=0.0):
         """A machine that is up `boot_s` from now and was rented `held_s` ago."""
@@ -579,7 +580,7 @@
                 return 200, {"Stands": self.granted[wanted["Booking"]]}
             names = []
             for _ in range(wanted["Count"]):
-                if len(self.machines) >= self.capacity:
+                if len(self.machines) >= self.capacity or wanted["Instrument"] in self.exhausted:
                     break
                 startup = next(t["StartupS"] for t in self.types if t["Name"] == wanted["Instrument"])
                 worker = await self.add(wanted["Instrument"], wanted["Hall"], wanted["Borrowed"],
