Review case: a job that can't start has other tasks of its team stopped again and again

Cause: within a team at its limit, tasks are preempted before a machine for the urgent job is sought.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -355,8 +355,8 @@
 
 
 class Worker:
-    """One machine with its worker, as PROTOCOL describes it. The image of every task is fetched in
-    `world.fetch_s` once and is then cached. `world.started` and `world.ended` learn what is on the
+    """One machine with its worker, as PROTOCOL describes it. An image is fetched once and is then
+    cached. `world.started` and `world.ended` learn what is on the
     machine; `world.outcome(worker, job)` says how long a task runs and how it ends."""
 
     def __init__(self, world, name, kind, zone, spot):
@@ -451,7 +451,8 @@
                 elif self.world.image(key[0]) in self.images:
                     self.begin(key)
                 else:
-                    asyncio.get_running_loop().call_later(self.world.fetch_s, self.begin, key)
+                    asyncio.get_running_loop().call_later(self.world.fetch_s(self, key[0]),
+                                                        self.begin, key)
                 self.wake.set()
             elif cue["CueKind"] == "stop":
                 if key in self.tasks and self.tasks[key].state != "ended":
@@ -625,8 +626,6 @@
 class World:
     """A deployment: three controllers as processes, and the stand-ins around them."""
 
-    fetch_s = 0.2
-
     def __init__(self, record, params, zones, node_zones, types, capacity):
         self.record, self.params, self.zones, self.node_zones = record, params, zones, node_zones
         self.types = types
@@ -636,6 +635,7 @@
         self.on = {}                # (job/task) -> {machine name: attempt}
         self.starts = []            # (time, voice, take, machine)
         self.ends = []              # (time, voice, take, machine, why)
+        self.counted = {}           # jobs whose tasks are recorded as counts: {job: {what: number}}
         self.cancelled_at = {}
         self.broken = []
         self.processes = {}
@@ -654,6 +654,11 @@
     def image(self, voice):
         return self.spec(voice)["Score"]
 
+    def fetch_s(self, worker, voice):
+        """How long the machine fetches the image of a task."""
+        kind = next(t for t in self.types if t["Name"] == worker.kind)
+        return self.spec(voice)["ImageGb"] / kind["FetchGbPerS"]
+
     def fits(self, worker, voice):
         kind = next(t for t in self.types if t["Name"] == worker.kind)
         for field in ("Cores", "MemGb"):
@@ -674,7 +679,7 @@
         elsewhere = [name for name in self.on.get(voice, {}) if name != worker.name]
         self.on.setdefault(voice, {})[worker.name] = take
         self.starts.append((self.record.now(), voice, take, worker.name))
-        self.record("task", voice, "attempt", take, "STARTS on", worker.name)
+        self.note(voice, f"STARTS on {worker.name}", take)
         if elsewhere:
             self.violation("ran_twice", f"{voice} starts on {worker.name} (attempt {take}) while it"
                            f" is on {elsewhere[0]} (attempt {self.on[voice][elsewhere[0]]})")
@@ -682,7 +687,24 @@
     def ended(self, worker, voice, take, why):
         self.on.get(voice, {}).pop(worker.name, None)
         self.ends.append((self.record.now(), voice, take, worker.name, why))
-        self.record("task", voice, "attempt", take, "ends on", worker.name, why)
+        self.note(voice, f"ends on {worker.name} {why}", take)
+
+    def note(self, voice, what, take):
+        """Records what happens to a task, or counts it for `record_counts`."""
+        counts = self.counted.get(voice.rsplit("/", 1)[0])
+        if counts is None:
+            self.record("task", voice, "attempt", take, what)
+        else:
+            counts[what] = counts.get(what, 0) + 1
+
+    async def record_counts(self):
+        """Writes the counts of the jobs in `counted` once a second."""
+        while True:
+            await asyncio.sleep(1.0)
+            for name, counts in self.counted.items():
+                for what, number in counts.items():
+                    self.record(number, "tasks of", name, what)
+                counts.clear()
 
     def lost_to_leases(self, job):
         """The ends of tasks of a job because the lease of their worker expired."""
@@ -690,7 +712,7 @@
                 and end[4] == "lease expired"]
 
     def note_launch(self, worker, key, channel):
-        self.record("worker", worker.name, "is told to launch", *key, "by", channel)
+        self.note(key[0], f"is to be launched on {worker.name}, by {channel}", key[1])
 
     def note_report(self, worker, report, label, status, answer):
         pass
@@ -880,12 +902,55 @@
 ]
 
 
+# The same of the site file chorus-grid.
+CHORUS_GRID = {
+    "teams": [
+        {"name": "choir-desk", "cpus": 152.0, "cpus_max": 304.0, "gpus": 0.0, "gpus_max": 0.0},
+        {"name": "brass-desk", "cpus": 152.0, "cpus_max": 448.0, "gpus": 0.0, "gpus_max": 0.0},
+        {"name": "hall-keepers", "cpus": 200.0, "cpus_max": 304.0, "gpus": 0.0, "gpus_max": 0.0}],
+    "objectives": [
+        {"kind": "wait", "class": "booking-desk", "within_s": 1.0, "share": 0.95},
+        {"kind": "deadline", "class": "part-matcher", "share": 0.96, "times": 1.0},
+        {"kind": "guarantee", "within_s": 5.0, "share": 0.97}],
+    "workers": {"report_s": 3.0, "lease_s": 27.0, "gang_wait_s": 50.0, "gang_peer_s": 8.0,
+                "cancel_s": 57.0},
+    "state": {"rps": 80.0, "write_rps": 25.0, "value_kb": 16.0, "txn_ops": 16},
+    "cloud": {"rps": 6.0, "list_lag_s": 8.0},
+    "resources": {"cpu": 0.2, "ram_mb": 136.0, "max_connections": 2500},
+    "skew_ms": 25.0,
+}
+CHORUS_ZONES = ["gdansk-loft", "poznan-hall"]
+CHORUS_NODE_ZONES = ["gdansk-loft", "poznan-hall", "gdansk-loft"]
+CHORUS_TYPES = [
+    {"Name": "lectern", "Cores": 16.0, "Accelerators": 0.0, "MemGb": 128.0, "CacheGb": 80.0,
+     "FetchGbPerS": 0.12, "Price": 0.84, "LowPrice": 0.23, "StartupS": 2.0, "Halls": CHORUS_ZONES},
+    {"Name": "organ-loft", "Cores": 64.0, "Accelerators": 0.0, "MemGb": 256.0, "CacheGb": 25.0,
+     "FetchGbPerS": 0.12, "Price": 3.07, "LowPrice": 0.89, "StartupS": 2.0, "Halls": CHORUS_ZONES},
+]
+
+
+def chorus_grid(record, **kwargs):
+    kwargs.setdefault("capacity", 28)
+    return World(record, json.loads(json.dumps(CHORUS_GRID)), CHORUS_ZONES, CHORUS_NODE_ZONES,
+                 CHORUS_TYPES, **kwargs)
+
+
 def organ_works(record, **kwargs):
     kwargs.setdefault("capacity", 40)
     return World(record, json.loads(json.dumps(ORGAN_WORKS)), ORGAN_ZONES, ORGAN_NODE_ZONES,
                  ORGAN_TYPES, **kwargs)
 
 
+def free_cores(world, worker, without=None):
+    """The cores of a machine that is up that no task takes, but for those of one job."""
+    if not worker.alive or worker.port is None:
+        return 0.0
+    kind = next(kind for kind in world.types if kind["Name"] == worker.kind)
+    return kind["Cores"] - sum(world.spec(voice)["Cores"] for (voice, _), task
+                               in worker.tasks.items()
+                               if task.state != "ended" and voice.rsplit("/", 1)[0] != without)
+
+
 def trouble():
     return os.environ.get("TROUBLE", "1") != "0"
 
