--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -963,11 +963,16 @@
     async def run():
         nonlocal outcome
         world = case.world(record)
+        this = asyncio.current_task()
+        for which in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(which, this.cancel)
         try:
             await asyncio.wait_for(case.play(world), limit_s)
             outcome = 1 if world.broken else 0
         except case.CannotRun as reason:
             record("the case could not run:", reason)
+        except asyncio.CancelledError:
+            record("the case was interrupted")
         except Exception as error:  # the case's own failure
             record("the case could not run:", repr(error))
             if os.environ.get("KEEP_LOGS"):
