Review case 5: a cancelled task starts again after the workers' leases were let end

A leader whose knowledge of cancellations is too old renews no worker's lease, but goes on launching tasks, in the workers' next sessions too: a task of a cancelled job is on a machine after cancel_s.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 //! alone. Built by `review/build-2.sh`.
 
 mod case4;
+mod case5;
 mod cloud;
 mod driver;
 mod store;
@@ -16,6 +17,7 @@
         Some("cloud") => cloud::run(&args[1..]),
         Some("worker") => worker::run(&args[1..]),
         Some("case4") => std::process::exit(case4::run(&args[1], trouble)),
+        Some("case5") => std::process::exit(case5::run(&args[1], trouble)),
         _ => std::process::exit(2),
     }
 }
