Review case 6: a service waits without end beside an empty machine

Eight waiting jobs that can't be placed use up the jobs for which preemption is planned; a later service that declines a free machine in favour of preemption gets neither.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod case4;
 mod case5;
+mod case6;
 mod cloud;
 mod driver;
 mod store;
@@ -18,6 +19,7 @@
         Some("worker") => worker::run(&args[1..]),
         Some("case4") => std::process::exit(case4::run(&args[1], trouble)),
         Some("case5") => std::process::exit(case5::run(&args[1], trouble)),
+        Some("case6") => std::process::exit(case6::run(&args[1], trouble)),
         _ => std::process::exit(2),
     }
 }
