--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -204,6 +204,23 @@
         }
     }
 
+    /// The tasks of a report, for the record.
+    fn listed(report: &Json) -> String {
+        let task = |voice: &Json| {
+            let field = |name: &str| voice.get(name).str().unwrap_or("").to_owned();
+            let take = voice.get("Take").u64().unwrap_or(0);
+            let line = format!(
+                "{} {take} {} {}",
+                field("Voice"),
+                field("Stage"),
+                field("Coda")
+            );
+            line.trim_end().to_owned()
+        };
+        let tasks: Vec<String> = report.get("Voices").arr().iter().map(task).collect();
+        format!("[{}]", tasks.join(", "))
+    }
+
     fn report(&mut self) -> Json {
         self.bar += 1;
         let live = self.tasks.iter().filter(|t| t.stage != "ended");
@@ -255,7 +272,10 @@
                 machine.execute(body.get("Cues"), "direct");
             }
             let status = if accepted { 200 } else { 409 };
-            Some((status, machine.report().text()))
+            let report = machine.report();
+            let tasks = Machine::listed(&report);
+            machine.log(&format!("commands with token {token} -> {status} {tasks}"));
+            Some((status, report.text()))
         }
         _ => Some((404, "{}".into())),
     }
@@ -304,7 +324,7 @@
     let mut seed = u64::from(std::process::id());
     loop {
         std::thread::sleep(TICK / 2);
-        let (text, session, sent) = {
+        let (text, tasks, session, sent) = {
             let mut machine = machine.lock().unwrap();
             machine.check_lease();
             let since = last_sent.elapsed();
@@ -313,7 +333,9 @@
                 continue;
             }
             machine.changed = false;
-            (machine.report().text(), machine.session, Instant::now())
+            let report = machine.report();
+            let tasks = format!("token {} {}", machine.token, Machine::listed(&report));
+            (report.text(), tasks, machine.session, Instant::now())
         };
         last_sent = sent;
         // The interval varies by a quarter.
@@ -332,6 +354,13 @@
         let mut machine = machine.lock().unwrap();
         machine.check_lease();
         let body = answer.as_ref().and_then(|(_, body)| Json::parse(body));
+        let status = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(status, _)| status.to_string());
+        machine.log(&format!(
+            "report {tasks} to {} -> {status}",
+            nodes[current].0
+        ));
         match (answer.map(|(status, _)| status), body) {
             (Some(200), Some(body)) if sent.elapsed() <= Duration::from_secs(4) => {
                 let token = body.get("Baton").u64().unwrap_or(0);
