--- a/review/standins-2/util.rs
+++ b/review/standins-2/util.rs
@@ -189,7 +189,10 @@
             _ => {
                 let start = self.at;
                 while self.at < self.text.len()
-                    && matches!(self.text[self.at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+                    && matches!(
+                        self.text[self.at],
+                        b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'
+                    )
                 {
                     self.at += 1;
                 }
@@ -354,7 +357,10 @@
 /// Appends one line to a log file, with the time in milliseconds.
 pub fn log_line(file: &str, line: &str) {
     let line = format!("{} {line}\n", now_ms());
-    let opened = std::fs::File::options().create(true).append(true).open(file);
+    let opened = std::fs::File::options()
+        .create(true)
+        .append(true)
+        .open(file);
     if let Ok(mut opened) = opened {
         let _ = opened.write_all(line.as_bytes());
     }
