--- a/src/coordination/executor/commands.rs
+++ b/src/coordination/executor/commands.rs
@@ -43,8 +43,8 @@
         (COMMAND_DEADLINE, &node.admission.commands)
     };
     let _permit = permits.acquire().await;
-    // The lease may have expired while the batch waited for its permit.
-    if !lease.is_live(node.now()) {
+    // Both may have expired while the batch waited.
+    if !lease.is_live(node.now()) || !may_execute(node, commands) {
         return CommandOutcome::NotSent;
     }
     let result = node
@@ -58,6 +58,12 @@
     }
 }
 
+/// Whether the worker may execute the commands now: launches need a permit to let tasks run.
+fn may_execute(node: &Node, commands: &[Command]) -> bool {
+    let is_launch = |command: &Command| matches!(command, Command::Launch { .. });
+    !commands.iter().any(is_launch) || node.run_permit().is_some()
+}
+
 fn command_outcome(answer: &Answer, addr: SocketAddr) -> CommandOutcome {
     match (answer.status, serde_json::from_slice(&answer.body)) {
         (StatusCode::OK, Ok(heartbeat)) => CommandOutcome::Executed(heartbeat),
--- a/src/coordination/shard/autoscaler/drain.rs
+++ b/src/coordination/shard/autoscaler/drain.rs
@@ -40,13 +40,17 @@
 impl Shard {
     /// Moves services off the machines being drained and, if `may_start_drains`, drains further
     /// machines. Batch tasks on them end by themselves. When there is nothing to drain and capacity
-    /// is held for quota, moves a service into the main zone instead.
+    /// is held for quota, moves a service into the main zone instead. Does nothing while no task
+    /// may be started, since a service that is stopped then could not start elsewhere.
     pub(super) fn consolidate(
         &mut self,
         capacities: &[Capacity],
         may_start_drains: bool,
         now: Instant,
     ) {
+        if !self.may_start_tasks(now) {
+            return;
+        }
         let max_at_once = self.autoscaler_view().max_drained_at_once();
         let draining = self.machines.ids(|m| m.draining && !m.is_deleting());
         let mut sources: Vec<MachineId> = draining
--- a/src/coordination/shard/dispatch/batch.rs
+++ b/src/coordination/shard/dispatch/batch.rs
@@ -3,15 +3,17 @@
 //! A batch holds the commands of one machine that are due at the same time; the worker
 //! executes them in the order of the batch.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::coordination::shard::{Action, Machine, Shard};
+use crate::coordination::worker_leases::run_permit::RunPermit;
 use crate::protocol::workers::Command;
 use crate::protocol::{AttemptId, MachineId, TaskId};
 
 impl Shard {
-    /// Sends a machine one batch with all commands that its attempts need now.
-    pub(super) fn send_commands(&mut self, machine_id: &MachineId) {
+    /// Sends a machine one batch with all commands that its attempts need now. Launches are left
+    /// out while this leader may start no tasks.
+    pub(super) fn send_commands(&mut self, machine_id: &MachineId, now: Instant) {
         let Some(machine) = self.machines.get_mut(machine_id) else {
             return;
         };
@@ -22,7 +24,12 @@
         // before the launches need them.
         let mut commands = clear_commands(machine);
         push_pending_stops(machine, &mut commands);
-        push_pending_launches(machine, &mut commands);
+        if let Some(permit) = self.run_deadline.permit(now) {
+            push_pending_launches(machine, &permit, &mut commands);
+        }
+        if commands.is_empty() {
+            return;
+        }
         self.send_batch(machine_id, agent_epoch, commands);
     }
 
@@ -74,10 +81,10 @@
 
 /// Appends a command for each launch that was not sent yet, and marks these attempts as
 /// having a command in flight.
-fn push_pending_launches(machine: &mut Machine, commands: &mut Vec<Command>) {
+fn push_pending_launches(machine: &mut Machine, permit: &RunPermit, commands: &mut Vec<Command>) {
     for (attempt_id, attempt) in &mut machine.attempts {
         if attempt.needs_launch() {
-            commands.push(launch_command(attempt_id));
+            commands.push(launch_command(attempt_id, permit));
             attempt.has_command_in_flight = true;
         }
     }
@@ -90,7 +97,8 @@
     }
 }
 
-pub(super) fn launch_command(attempt_id: &AttemptId) -> Command {
+/// The command that starts an attempt. The worker may run it for the rest of its lease.
+pub(super) fn launch_command(attempt_id: &AttemptId, _: &RunPermit) -> Command {
     Command::Launch {
         task: attempt_id.task.clone(),
         attempt: attempt_id.number,
--- a/src/coordination/shard/dispatch/mod.rs
+++ b/src/coordination/shard/dispatch/mod.rs
@@ -48,7 +48,7 @@
                 && machine.commands.can_send(now)
         });
         for machine_id in machine_ids {
-            self.send_commands(&machine_id);
+            self.send_commands(&machine_id, now);
         }
     }
 }
--- a/src/coordination/shard/dispatch/repeated.rs
+++ b/src/coordination/shard/dispatch/repeated.rs
@@ -5,16 +5,20 @@
 
 use super::batch::{clear_commands, launch_command, stop_command};
 use crate::coordination::shard::{Attempt, Machine, Phase};
+use crate::coordination::worker_leases::run_permit::RunPermit;
 use crate::protocol::AttemptId;
 use crate::protocol::workers::Command;
 
 /// The commands to put into the answer to a heartbeat. Stops and clears may be
 /// repeated safely; a launch is repeated only while an earlier copy may still arrive.
-pub(in crate::coordination::shard) fn commands_to_repeat(machine: &Machine) -> Vec<Command> {
+pub(in crate::coordination::shard) fn commands_to_repeat(
+    machine: &Machine,
+    permit: &RunPermit,
+) -> Vec<Command> {
     let mut commands = clear_commands(machine);
     for (attempt_id, attempt) in &machine.attempts {
         match attempt.phase {
-            Phase::Launching => repeat_launch(attempt_id, attempt, &mut commands),
+            Phase::Launching => repeat_launch(attempt_id, attempt, permit, &mut commands),
             _ => repeat_stop(attempt_id, attempt, &mut commands),
         }
     }
@@ -23,11 +27,16 @@
 
 /// Appends a launch that was sent, got no answer and may still arrive, and its stop if one was
 /// requested. Once the worker knows the attempt, a late copy of the launch has no effect.
-fn repeat_launch(attempt_id: &AttemptId, attempt: &Attempt, commands: &mut Vec<Command>) {
+fn repeat_launch(
+    attempt_id: &AttemptId,
+    attempt: &Attempt,
+    permit: &RunPermit,
+    commands: &mut Vec<Command>,
+) {
     if attempt.has_command_in_flight || !attempt.has_unanswered_launch {
         return;
     }
-    commands.push(launch_command(attempt_id));
+    commands.push(launch_command(attempt_id, permit));
     if let Some(grace) = attempt.stop_grace() {
         commands.push(stop_command(&attempt_id.task, attempt_id.number, grace));
     }
--- a/src/coordination/shard/machines/mod.rs
+++ b/src/coordination/shard/machines/mod.rs
@@ -230,7 +230,7 @@
     /// heartbeats may still answer commands, but only the answers to periodic heartbeats renew its
     /// lease.
     pub fn since_periodic_heartbeat(&self, now: Instant) -> Duration {
-        self.lease.since_renewal(now)
+        self.lease.since_periodic_heartbeat(now)
     }
 
     /// Whether new tasks may be started on the machine.
--- a/src/coordination/shard/machines/tests.rs
+++ b/src/coordination/shard/machines/tests.rs
@@ -88,9 +88,10 @@
     let now = Instant::now();
     let later = now + Duration::from_secs(20);
     let mut lease = WorkerLease::new(now, later);
-    lease.renew(now + Duration::from_secs(3), now + Duration::from_secs(10));
+    lease.note_periodic_heartbeat(now + Duration::from_secs(3));
+    lease.extend_to(now + Duration::from_secs(10));
     assert_eq!(lease.expires_at(), later);
-    let since = lease.since_renewal(now + Duration::from_secs(5));
+    let since = lease.since_periodic_heartbeat(now + Duration::from_secs(5));
     assert_eq!(since, Duration::from_secs(2));
 }
 
--- a/src/coordination/shard/machines/worker_lease.rs
+++ b/src/coordination/shard/machines/worker_lease.rs
@@ -10,8 +10,8 @@
 #[derive(Debug)]
 pub struct WorkerLease {
     expires_at: Instant,
-    /// When the answer to a periodic heartbeat last renewed the lease.
-    renewed_at: Option<Instant>,
+    /// When the last periodic heartbeat arrived, whether or not its answer renewed the lease.
+    last_periodic_heartbeat: Option<Instant>,
     /// When this leader first learned of the machine, or, if the cloud reported it to this leader
     /// first, when it was rented.
     known_since: Instant,
@@ -22,7 +22,7 @@
     pub fn new(now: Instant, expires_at: Instant) -> Self {
         Self {
             expires_at,
-            renewed_at: None,
+            last_periodic_heartbeat: None,
             known_since: now,
         }
     }
@@ -37,15 +37,15 @@
         self.expires_at = self.expires_at.max(expires_at);
     }
 
-    /// Records that the answer to a heartbeat renews the lease, until `expires_at` at the latest.
-    pub fn renew(&mut self, now: Instant, expires_at: Instant) {
-        self.renewed_at = Some(now);
-        self.extend_to(expires_at);
+    /// Records that a periodic heartbeat arrives.
+    pub fn note_periodic_heartbeat(&mut self, now: Instant) {
+        self.last_periodic_heartbeat = Some(now);
     }
 
-    /// Time since the answer to a periodic heartbeat last renewed the lease, or, if none has,
-    /// since the machine counts as known.
-    pub fn since_renewal(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.renewed_at.unwrap_or(self.known_since))
+    /// Time since the last periodic heartbeat, or, if none has arrived, since the machine counts
+    /// as known.
+    pub fn since_periodic_heartbeat(&self, now: Instant) -> Duration {
+        let since = self.last_periodic_heartbeat.unwrap_or(self.known_since);
+        now.saturating_duration_since(since)
     }
 }
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -44,6 +44,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::worker_leases::run_permit::RunDeadline;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::{FencingToken, JobId};
 use jobs::RunningTasks;
@@ -93,6 +94,8 @@
     /// code that hands over leadership. Services are safest there, since a controller in their
     /// own zone receives their heartbeats during any partition between zones.
     pub main_zone: Option<String>,
+    /// Until when this leader may start tasks and renew workers' leases.
+    run_deadline: RunDeadline,
     /// Whether something changed since the last reconciliation pass that may allow or require
     /// new decisions.
     needs_pass: bool,
@@ -152,6 +155,12 @@
         self.term_began_wall_ms + elapsed
     }
 
+    /// Sets until when this leader may start tasks and renew workers' leases, by what it knows of
+    /// cancellations. Without a call it may do neither.
+    pub fn set_run_deadline(&mut self, run_deadline: RunDeadline) {
+        self.run_deadline = run_deadline;
+    }
+
     fn new_attempt_number(&mut self) -> u64 {
         self.last_attempt_number += 1;
         self.last_attempt_number
--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -22,6 +22,7 @@
 use super::dispatch::commands_to_repeat;
 use super::machines::{EpochChange, HeartbeatNumber};
 use super::{Action, Machine, Shard};
+use crate::coordination::worker_leases::run_permit::RunPermit;
 use crate::protocol::MachineId;
 use crate::protocol::workers::{Command, WorkerHeartbeat};
 
@@ -29,10 +30,17 @@
 const OUTDATED_HEARTBEAT_PROBE_PAUSE: Duration = Duration::from_secs(2);
 
 /// The answer to a heartbeat.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum HeartbeatOutcome {
     /// Status 200 with these commands: the worker renews its lease.
-    Answer(Vec<Command>),
+    Answer {
+        /// The commands for the worker.
+        commands: Vec<Command>,
+        /// The permit to renew the lease.
+        permit: RunPermit,
+    },
+    /// The lease is not renewed, since this leader may not know of all cancellations.
+    Withhold,
     /// The lease is not renewed: the machine is deleted, or another controller has a higher
     /// fencing token and may lead the shard.
     Refuse,
@@ -51,18 +59,25 @@
             return HeartbeatOutcome::Refuse;
         };
         let number = HeartbeatNumber::from(heartbeat);
+        let is_duplicate = !machine.epochs.note_periodic(number);
+        if !is_duplicate {
+            machine.lease.note_periodic_heartbeat(now);
+        }
+        let Some(permit) = self.run_deadline.permit(now) else {
+            return HeartbeatOutcome::Withhold;
+        };
         // The bound assumes that the worker accepts this answer; if it doesn't, its lease
         // expires earlier. The answer to a duplicate renews nothing, since the worker does not
         // wait for it.
-        if machine.epochs.note_periodic(number) {
-            machine.lease.renew(now, lease_expires_at);
+        if !is_duplicate {
+            machine.lease.extend_to(lease_expires_at);
         }
         let commands = if machine.token_acknowledged && machine.epochs.is_newest(number) {
-            commands_to_repeat(machine)
+            commands_to_repeat(machine, &permit)
         } else {
             Vec::new()
         };
-        HeartbeatOutcome::Answer(commands)
+        HeartbeatOutcome::Answer { commands, permit }
     }
 
     /// Applies a heartbeat, periodic or in answer to commands.
--- a/src/coordination/shard/reconciler/recovery.rs
+++ b/src/coordination/shard/reconciler/recovery.rs
@@ -13,6 +13,7 @@
 use crate::coordination::shard::persistence::WriteQueue;
 use crate::coordination::shard::{Job, Machine, Machines, Policy, Shard, UnfinishedJob};
 use crate::coordination::worker_leases::DELEGATION_TIME;
+use crate::coordination::worker_leases::run_permit::RunDeadline;
 use crate::protocol::{FencingToken, JobId, MachineId};
 use crate::storage::records::{RentalRecord, RosterRecord};
 use crate::storage::snapshot;
@@ -87,6 +88,7 @@
             last_attempt_number: fencing_token.revision() << ATTEMPT_COUNTER_BITS,
             last_batch_number: 0,
             main_zone: None,
+            run_deadline: RunDeadline::default(),
             needs_pass: true,
             running_tasks: RunningTasks::default(),
             pending_actions: Vec::new(),
--- a/src/coordination/shard/scheduler/mod.rs
+++ b/src/coordination/shard/scheduler/mod.rs
@@ -69,10 +69,9 @@
 
 impl Shard {
     /// Makes one scheduling pass: places waiting tasks, and preempts running tasks for those that
-    /// found no machine. Does nothing while some change has gone without a durable snapshot for
-    /// longer than the policy allows.
+    /// found no machine. Does nothing while no task may be started.
     pub(super) fn schedule(&mut self, now: Instant) {
-        if self.writes.is_stale(now, self.policy.max_staleness) {
+        if !self.may_start_tasks(now) {
             return;
         }
         let by_priority = self.scheduler_view().waiting_by_priority(now);
@@ -95,6 +94,13 @@
         self.preempt(&progress.unplaced_jobs, &pass, now);
     }
 
+    /// Whether tasks may be started: this leader knows enough of the cancellations, and no change
+    /// has gone without a durable snapshot for longer than the policy allows.
+    pub(super) fn may_start_tasks(&self, now: Instant) -> bool {
+        self.run_deadline.permit(now).is_some()
+            && !self.writes.is_stale(now, self.policy.max_staleness)
+    }
+
     /// Places tasks of the waiting jobs of one priority, one team's turn at a time, until no job
     /// finds a machine or the pass is full.
     fn place_priority(
--- a/src/coordination/shard/tests/fixtures.rs
+++ b/src/coordination/shard/tests/fixtures.rs
@@ -2,11 +2,12 @@
 //! policy.
 
 use std::collections::HashMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::coordination::shard::{
     Policy, RecoveredMachine, RecoveredState, TeamPolicy, UnfinishedJob,
 };
+use crate::coordination::worker_leases::run_permit::RunDeadline;
 use crate::protocol::TaskId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::users::{JobKind, JobSpec, Priority};
@@ -21,6 +22,9 @@
 /// that the leader granted in advance. The sum of this and [`WORKER_LEASE`] stays below
 /// [`CANCELLATION_BOUND`].
 pub(super) const ADVANCE_DELEGATION: Duration = Duration::from_secs(24);
+/// How long the leader may let tasks run for another [`WORKER_LEASE`] after the moment up to which it
+/// knows of all cancellations. The sum of both stays below [`CANCELLATION_BOUND`].
+pub(super) const STALENESS_BOUND: Duration = Duration::from_secs(24);
 /// How long a ready task of a gang waits for the gang's other tasks to be ready.
 pub(super) const GANG_WAIT: Duration = Duration::from_secs(30);
 
@@ -111,6 +115,11 @@
     }
 }
 
+/// The deadline of a leader that knows of all cancellations for as long as any test lasts.
+pub(super) fn distant_run_deadline(now: Instant) -> RunDeadline {
+    RunDeadline::new(Some(now), Duration::from_secs(1_000_000))
+}
+
 /// A machine of a recovered roster: type `m8`, in the zone `north`.
 pub(super) fn roster_machine(id: &str) -> RecoveredMachine {
     RecoveredMachine {
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -17,6 +17,7 @@
 mod preemption;
 mod quotas;
 mod random;
+mod run_deadline;
 mod scale;
 mod scale_in;
 mod scripted_shard;
--- a/src/coordination/shard/tests/random.rs
+++ b/src/coordination/shard/tests/random.rs
@@ -1,17 +1,21 @@
 //! Simulated runs with fixed seeds: runs with random events and faults of all kinds, and runs with
 //! one kind of fault each.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use super::fixtures::{WORKER_LEASE, spec};
+use super::fixtures::{CANCELLATION_BOUND, WORKER_LEASE, spec};
 use super::simulation::Simulation;
 use crate::protocol::users::{JobKind, JobSpec, Priority};
 
-/// The number of seeds, counted from 0, for which the rules are checked.
-const SEEDS: u64 = 64;
+/// The seeds for which the rules are checked, unless [`SEEDS_VARIABLE`] names others.
+const SEEDS: Range<u64> = 0..64;
+
+/// The environment variable that names other seeds, for long runs started by hand: `FIRST..END`.
+const SEEDS_VARIABLE: &str = "VALEGAP_RANDOM_SEEDS";
 
 /// The number of events in one random run.
 const EVENTS_PER_RUN: u32 = 60;
@@ -39,6 +43,10 @@
             simulation.start_store_outage(duration);
         } else if event < 0.96 {
             simulation.cancel_completed_job();
+        } else if event < 0.98 {
+            cancel_before_outage(&mut simulation);
+        } else {
+            simulation.restart_peer();
         }
         let pause = Duration::from_millis(simulation.rng.random_range(300..8_000));
         simulation.run(pause);
@@ -46,6 +54,15 @@
     simulation
 }
 
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
+        return SEEDS;
+    };
+    let bounds = text.split_once("..").expect("FIRST..END");
+    let [first, end] = [bounds.0, bounds.1].map(|bound| bound.parse().expect("a seed"));
+    first..end
+}
+
 fn random_job(rng: &mut StdRng) -> JobSpec {
     let team = if rng.random_bool(0.6) { "red" } else { "blue" };
     let cores = f64::from(rng.random_range(1_u32..4));
@@ -85,6 +102,22 @@
     simulation.elect_leader();
 }
 
+/// Cancels a job while the key-value store refuses the leader alone, and then lets the store refuse
+/// all controllers. With a probability of one half, the controller that confirmed the cancellation
+/// restarts meanwhile.
+fn cancel_before_outage(simulation: &mut Simulation) {
+    let refusal = Duration::from_millis(simulation.rng.random_range(200..2_500));
+    simulation.refuse_leader(refusal);
+    cancel_random_job(simulation);
+    let pause = Duration::from_millis(simulation.rng.random_range(100..1_000));
+    simulation.run(pause);
+    let outage = Duration::from_millis(simulation.rng.random_range(1_000..100_000));
+    simulation.start_store_outage(outage);
+    if simulation.rng.random_bool(0.5) {
+        simulation.restart_peer();
+    }
+}
+
 fn fail_random_machine(simulation: &mut Simulation) {
     let machines = simulation.machines();
     if machines.is_empty() {
@@ -104,16 +137,16 @@
 #[test]
 fn no_rule_is_violated_in_random_runs() {
     let (mut starts, mut gangs) = (0, 0);
-    for seed in 0..SEEDS {
+    let mut broken = Vec::new();
+    for seed in seeds() {
         let simulation = random_run(seed);
-        assert!(
-            simulation.violations.is_empty(),
-            "seed {seed}: {:?}",
-            simulation.violations
-        );
         starts += simulation.counts.task_starts;
         gangs += simulation.counts.gang_starts;
+        if !simulation.violations.is_empty() {
+            broken.push((seed, simulation.violations));
+        }
     }
+    assert!(broken.is_empty(), "by seed: {broken:#?}");
     assert!(
         starts > 500,
         "only {starts} tasks started, too few to test the rules"
@@ -170,6 +203,72 @@
     }
 }
 
+/// Guards against `ran_cancelled`: a leader that could not know of all cancellations launched tasks
+/// of cancelled jobs in new agent epochs of the workers whose leases it had let end. These seeds
+/// broke the rule then.
+#[test]
+fn no_cancelled_task_runs_for_too_long_if_the_controller_that_cancelled_it_restarts() {
+    for seed in [974, 1222, 1815, 2102, 2165, 2455, 3062, 3219, 3550, 3557] {
+        let simulation = random_run(seed);
+        let violations = simulation.violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
+
+/// Jobs are cancelled just before an outage of the key-value store that is longer than the
+/// cancellation bound. If the controller that confirmed the cancellations restarts, the leader
+/// can't learn of them; it lets all tasks end and starts none until the outage is over.
+#[test]
+fn cancellations_before_a_long_outage_hold_while_a_controller_restarts() {
+    for seed in 0..8 {
+        let mut simulation = Simulation::new(seed);
+        simulation.elect_leader();
+        submit_services(&mut simulation, 4);
+        simulation.run(Duration::from_secs(60));
+        simulation.refuse_leader(Duration::from_secs(1));
+        for id in simulation.open_jobs().iter().take(2) {
+            simulation.cancel(id);
+        }
+        simulation.start_store_outage(CANCELLATION_BOUND * 3);
+        simulation.restart_peer();
+        let starts = simulation.counts.task_starts;
+        simulation.run(CANCELLATION_BOUND * 3);
+        let restarts = simulation.counts.task_starts - starts;
+        assert_eq!(restarts, 0, "seed {seed}: tasks started in the outage");
+        assert_all_jobs_finish(simulation, &format!("seed {seed}"));
+    }
+}
+
+/// In an outage in which all controllers live, the leader learns from the others that it knows of
+/// all cancellations: work that was accepted before the outage starts in it.
+#[test]
+fn accepted_work_starts_in_an_outage_in_which_all_controllers_live() {
+    for seed in 0..8 {
+        let mut simulation = Simulation::new(seed);
+        simulation.end_faults();
+        simulation.elect_leader();
+        submit_services(&mut simulation, 3);
+        simulation.run(Duration::from_secs(60));
+        let starts = simulation.counts.task_starts;
+        simulation.submit("run-000100", spec("blue", 1.0, 2));
+        simulation.start_store_outage(CANCELLATION_BOUND * 2);
+        simulation.run(Duration::from_secs(15));
+        let started = simulation.counts.task_starts - starts;
+        assert!(started >= 2, "seed {seed}: {started} tasks started");
+        simulation.run(CANCELLATION_BOUND * 2);
+        assert_all_jobs_finish(simulation, &format!("seed {seed}"));
+    }
+}
+
+/// Submits services of two tasks each, which run until they are cancelled.
+fn submit_services(simulation: &mut Simulation, jobs: u32) {
+    for n in 0..jobs {
+        let mut job = spec("blue", 2.0, 2);
+        job.kind = JobKind::Service;
+        simulation.submit(&format!("run-{n:06}"), job);
+    }
+}
+
 /// Five of the failovers take 100 ms, the others three seconds, and one happens during an outage of
 /// the key-value store.
 #[test]
--- a/src/coordination/shard/tests/scale/cluster.rs
+++ b/src/coordination/shard/tests/scale/cluster.rs
@@ -5,7 +5,9 @@
 
 use serde_json::Value;
 
-use super::super::fixtures::{self, machine_types, policy, record, running_task};
+use super::super::fixtures::{
+    self, distant_run_deadline, machine_types, policy, record, running_task,
+};
 use super::super::scripted_shard::{ScriptedShard, TOKEN};
 use crate::coordination::shard::{
     Action, CommandOutcome, Policy, RecoveredMachine, RecoveredState, Shard, UnfinishedJob,
@@ -306,6 +308,8 @@
             now,
             0,
         );
-        self.script.shard.set_machine_types(&machine_types());
+        let shard = &mut self.script.shard;
+        shard.set_machine_types(&machine_types());
+        shard.set_run_deadline(distant_run_deadline(now));
     }
 }
--- a/src/coordination/shard/tests/scripted_shard.rs
+++ b/src/coordination/shard/tests/scripted_shard.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::fixtures::{machine_types, policy, record};
+use super::fixtures::{distant_run_deadline, machine_types, policy, record};
 use crate::coordination::shard::{
     Action, CommandOutcome, HeartbeatOutcome, Machine, Policy, RecoveredState, Shard, ShardWrite,
 };
@@ -97,6 +97,7 @@
         let fencing_token = FencingToken::new(fencing_token);
         let mut shard = Shard::recover(policy, fencing_token, recovered, now, 0);
         shard.set_machine_types(&machine_types());
+        shard.set_run_deadline(distant_run_deadline(now));
         Self {
             shard,
             now,
@@ -188,8 +189,8 @@
         let outcome = self.shard.heartbeat(&heartbeat, self.now);
         self.reconcile();
         match outcome {
-            HeartbeatOutcome::Answer(commands) => commands,
-            HeartbeatOutcome::Refuse => panic!("heartbeat refused"),
+            HeartbeatOutcome::Answer { commands, .. } => commands,
+            outcome => panic!("heartbeat not answered: {outcome:?}"),
         }
     }
 
--- a/src/coordination/shard/tests/simulation/delivery.rs
+++ b/src/coordination/shard/tests/simulation/delivery.rs
@@ -27,9 +27,7 @@
                 self.apply_to_incarnation(leader, |shard| shard.write_applied(&write, now));
             }
             Message::Finish(finish) => self.apply_finish(finish),
-            Message::JobFinished { job, stage } => {
-                self.apply_to_leader(|shard| shard.job_finished(&job, Some(stage)));
-            }
+            Message::JobFinished { job, stage } => self.watch_finished_job(job, stage),
             Message::Rent { leader, rental } => self.rent_machines(leader, rental),
             Message::RentalAnswer {
                 leader,
--- a/src/coordination/shard/tests/simulation/kv_store.rs
+++ b/src/coordination/shard/tests/simulation/kv_store.rs
@@ -6,9 +6,9 @@
 
 use serde_json::Value;
 
+use super::Simulation;
 use super::network::{FencedFinish, FencedWrite, Message};
 use super::rules::Rule;
-use super::{Simulation, is_fault_active};
 use crate::coordination::shard::{RecoveredMachine, RecoveredState, UnfinishedJob};
 use crate::protocol::FencingToken;
 use crate::protocol::kv::Mutation;
@@ -31,6 +31,8 @@
     pub(super) leader_token: FencingToken,
     /// The time until which the store refuses writes.
     pub(super) outage_until: Option<Instant>,
+    /// The time until which the store refuses the leader alone.
+    pub(super) leader_refused_until: Option<Instant>,
     revision: u64,
     jobs: BTreeMap<String, StoredJob>,
     finals: BTreeMap<String, FinalRecord>,
@@ -106,6 +108,14 @@
         self.finals.get(id).cloned()
     }
 
+    /// The finished jobs.
+    pub(super) fn final_stages(&self) -> Vec<(String, JobStage)> {
+        let finals = self.finals.iter();
+        finals
+            .map(|(id, record)| (id.clone(), record.stage))
+            .collect()
+    }
+
     /// The jobs without a final record, with their ids.
     pub(super) fn open_jobs(&self) -> impl Iterator<Item = (&String, &JobRecord)> {
         self.jobs.iter().map(|(id, job)| (id, &job.record))
@@ -145,7 +155,7 @@
         if write.fencing_token != self.store.leader_token {
             return;
         }
-        if is_fault_active(self.store.outage_until, self.now) {
+        if !self.is_leader_served() {
             self.send_after(RETRY_INTERVAL, Message::Write(write));
             return;
         }
@@ -160,7 +170,7 @@
     /// Records that a job is done, unless a later leader has been elected or the job has changed.
     /// In an outage of the store the write is retried.
     pub(super) fn apply_finish(&mut self, finish: FencedFinish) {
-        if is_fault_active(self.store.outage_until, self.now) {
+        if !self.is_leader_served() {
             self.send_after(RETRY_INTERVAL, Message::Finish(finish));
             return;
         }
@@ -181,4 +191,14 @@
         let stage = JobStage::Done;
         self.send(Message::JobFinished { job, stage });
     }
+
+    /// Delivers to the leader the watch event that a job has a final record. The watch waits while
+    /// the store refuses the leader.
+    pub(super) fn watch_finished_job(&mut self, job: String, stage: JobStage) {
+        if !self.is_leader_served() {
+            self.send_after(RETRY_INTERVAL, Message::JobFinished { job, stage });
+            return;
+        }
+        self.apply_to_leader(|shard| shard.job_finished(&job, Some(stage)));
+    }
 }
--- a/src/coordination/shard/tests/simulation/leader.rs
+++ b/src/coordination/shard/tests/simulation/leader.rs
@@ -23,6 +23,7 @@
     /// Removes the leader. Its messages in flight still arrive.
     pub(crate) fn crash_leader(&mut self) {
         self.leader = None;
+        self.store.leader_refused_until = None;
     }
 
     /// Elects a new leader, which recovers the shard. In an outage of the key-value store the
@@ -31,6 +32,7 @@
         if let Some(until) = self.store.outage_until.filter(|until| *until > self.now) {
             self.run(until - self.now);
         }
+        self.reset_leader_freshness();
         let fencing_token = self.store.acquire_leadership();
         self.leader_incarnations += 1;
         let recovered = self.store.recovered_state();
@@ -46,7 +48,9 @@
     /// Applies an event to the leader's shard, if there is a leader.
     pub(super) fn apply_to_leader(&mut self, event: impl FnOnce(&mut Shard)) {
         let now = self.now;
+        let run_deadline = self.run_deadline();
         if let Some(leader) = &mut self.leader {
+            leader.shard.set_run_deadline(run_deadline);
             event(&mut leader.shard);
             leader.shard.reconcile(now);
         }
@@ -159,7 +163,7 @@
         let now = self.now;
         let mut answer = None;
         self.apply_to_leader(|shard| {
-            if let HeartbeatOutcome::Answer(commands) = shard.heartbeat(heartbeat, now) {
+            if let HeartbeatOutcome::Answer { commands, .. } = shard.heartbeat(heartbeat, now) {
                 answer = Some((shard.fencing_token, commands));
             }
         });
--- a/src/coordination/shard/tests/simulation/mod.rs
+++ b/src/coordination/shard/tests/simulation/mod.rs
@@ -14,6 +14,7 @@
 mod kv_store;
 mod leader;
 mod network;
+mod peer;
 mod rules;
 mod users;
 mod worker;
@@ -31,6 +32,7 @@
 use self::kv_store::KvStore;
 use self::leader::Leader;
 use self::network::Network;
+use self::peer::Peer;
 use self::rules::Violation;
 use self::worker::Worker;
 use super::fixtures::policy;
@@ -42,6 +44,8 @@
 const STEP: Duration = Duration::from_millis(100);
 /// The number of steps between two ticks of the shard.
 const STEPS_PER_TICK: u32 = 2;
+/// The number of steps between two exchanges of the leader with the other controller.
+const STEPS_PER_EXCHANGE: u32 = 10;
 /// The number of steps between two listings of the cloud's machines. Cancellations and counters
 /// are checked with each listing.
 const STEPS_PER_LISTING: u32 = 30;
@@ -105,6 +109,7 @@
     workers: BTreeMap<String, Worker>,
     leader: Option<Leader>,
     leader_incarnations: u64,
+    peer: Peer,
     /// By a leader's fencing token, when a delegate last answered a worker for that leader.
     delegated_answers: BTreeMap<FencingToken, Instant>,
     truth: GroundTruth,
@@ -113,8 +118,9 @@
 impl Simulation {
     pub(super) fn new(seed: u64) -> Self {
         let quota_limit = |(name, team): (&String, &TeamPolicy)| (name.clone(), team.cores_max);
+        let now = Instant::now();
         Self {
-            now: Instant::now(),
+            now,
             rng: StdRng::seed_from_u64(seed),
             faults: Faults {
                 loss: 0.02,
@@ -129,6 +135,7 @@
             workers: BTreeMap::new(),
             leader: None,
             leader_incarnations: 0,
+            peer: Peer::new(now),
             delegated_answers: BTreeMap::new(),
             truth: GroundTruth {
                 quota_limits: policy().teams.iter().map(quota_limit).collect(),
@@ -150,6 +157,9 @@
             if steps.is_multiple_of(STEPS_PER_TICK) {
                 self.tick_leader();
             }
+            if steps.is_multiple_of(STEPS_PER_EXCHANGE) {
+                self.update_leader_freshness();
+            }
             if steps.is_multiple_of(STEPS_PER_LISTING) {
                 self.list_machines();
                 self.check_cancellations();
@@ -161,6 +171,7 @@
     /// Makes the key-value store refuse writes for a duration: user requests are refused, and no
     /// controller can acquire the shard's lease.
     pub(super) fn start_store_outage(&mut self, duration: Duration) {
+        self.catch_up_leader();
         self.store.outage_until = Some(self.now + duration);
     }
 
@@ -173,6 +184,7 @@
             misdirection: 0.0,
         };
         self.store.outage_until = None;
+        self.store.leader_refused_until = None;
     }
 }
 
--- a/src/coordination/shard/tests/simulation/users.rs
+++ b/src/coordination/shard/tests/simulation/users.rs
@@ -28,7 +28,7 @@
         if self.store.finish_job(id, JobStage::Cancelled).is_none() {
             return;
         }
-        self.truth.cancelled_at.insert(id.to_owned(), self.now);
+        self.confirm_cancellation(id);
         self.send(Message::JobFinished {
             job: id.to_owned(),
             stage: JobStage::Cancelled,
--- a/src/coordination/shard/tests/simulation/worker.rs
+++ b/src/coordination/shard/tests/simulation/worker.rs
@@ -78,6 +78,16 @@
     expires_at: Instant,
 }
 
+impl AdvanceDelegation {
+    /// A delegation by a controller that knows of all cancellations up to a moment.
+    pub(super) fn new(fencing_token: FencingToken, cancellations_known_up_to: Instant) -> Self {
+        Self {
+            fencing_token,
+            expires_at: cancellations_known_up_to + ADVANCE_DELEGATION,
+        }
+    }
+}
+
 /// How long the fetch of a launched task's image takes, and how long the task runs after it.
 pub(super) struct LaunchTimes {
     pub(super) fetch: Duration,
@@ -261,19 +271,11 @@
         started
     }
 
-    /// Partitions the worker until a time; with a fencing token, a delegate renews its lease
+    /// Partitions the worker until a time; with a delegation, a delegate renews its lease
     /// meanwhile. A worker that is partitioned already gets no delegation.
-    pub(super) fn partition(
-        &mut self,
-        until: Instant,
-        fencing_token: Option<FencingToken>,
-        now: Instant,
-    ) {
+    pub(super) fn partition(&mut self, until: Instant, delegation: Option<AdvanceDelegation>) {
         if self.partitioned_until.is_none() {
-            self.advance_delegation = fencing_token.map(|fencing_token| AdvanceDelegation {
-                fencing_token,
-                expires_at: now + ADVANCE_DELEGATION,
-            });
+            self.advance_delegation = delegation;
         }
         self.partitioned_until = Some(until);
     }
--- a/src/coordination/shard/tests/simulation/workers.rs
+++ b/src/coordination/shard/tests/simulation/workers.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::network::{CommandBatch, HeartbeatAnswer, Message};
-use super::worker::{LaunchTimes, Worker};
+use super::worker::{AdvanceDelegation, LaunchTimes, Worker};
 use super::{STEP, Simulation, is_fault_active};
 use crate::coordination::shard::CommandOutcome;
 use crate::protocol::workers::{Command, WorkerHeartbeat};
@@ -131,10 +131,11 @@
     /// its lease in advance.
     pub(crate) fn partition(&mut self, id: &str, duration: Duration) {
         let is_delegated = self.rng.random_bool(0.5);
-        let fencing_token = is_delegated.then_some(self.store.leader_token);
+        let known = self.cancellations_known_up_to().filter(|_| is_delegated);
+        let delegation = known.map(|known| AdvanceDelegation::new(self.store.leader_token, known));
         let now = self.now;
         self.set_fault(id, |worker| {
-            worker.partition(now + duration, fencing_token, now);
+            worker.partition(now + duration, delegation);
         });
     }
 
--- a/src/coordination/shard/tests/zones.rs
+++ b/src/coordination/shard/tests/zones.rs
@@ -129,6 +129,6 @@
     script.sequence += 1;
     heartbeat.sequence = script.sequence;
     let outcome = script.shard.heartbeat(&heartbeat, script.now);
-    assert!(matches!(outcome, HeartbeatOutcome::Answer(_)));
+    assert!(matches!(outcome, HeartbeatOutcome::Answer { .. }));
     script.reconcile();
 }
--- a/src/coordination/shard_events.rs
+++ b/src/coordination/shard_events.rs
@@ -23,6 +23,8 @@
     /// leader's loop, which makes them for many events together. Returns `None` without applying
     /// the event if the lease has ended or is not the node's current one.
     ///
+    /// The shard decides on the event with the node's present knowledge of cancellations.
+    ///
     /// `activity` is the name under which the log and the status page account for the time that
     /// the event took.
     pub fn with_shard<T>(
@@ -34,10 +36,12 @@
         let now = self.now();
         let (result, actions) = {
             let mut state = self.lock();
+            let run_deadline = self.run_deadline(&mut state, now);
             let leadership = state
                 .leadership
                 .as_mut()
                 .filter(|leadership| Arc::ptr_eq(&leadership.lease, lease) && !lease.has_ended())?;
+            leadership.shard.set_run_deadline(run_deadline);
             let result = event(&mut leadership.shard, now);
             let took = self.clock.now().saturating_duration_since(now);
             leadership.activities.record(activity, took);
--- a/src/coordination/tests/cancellation_freshness.rs
+++ b/src/coordination/tests/cancellation_freshness.rs
@@ -5,27 +5,32 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use tokio::net::TcpListener;
 
 use super::peering::make_leader_with_state;
 use super::{heartbeat, node, peer};
 use crate::clock::FakeClock;
+use crate::coordination::executor::execute;
 use crate::coordination::leadership::lease::ShardLease;
 use crate::coordination::node::{KV_DEADLINE, Node};
 use crate::coordination::peering::cancellations::{
     confirmed_cancellations, record_peer_cancellations,
 };
-use crate::coordination::shard::{RecoveredState, UnfinishedJob};
+use crate::coordination::shard::{
+    Action, Attempt, Phase, RecoveredMachine, RecoveredState, UnfinishedJob,
+};
 use crate::coordination::worker_heartbeats::{HeartbeatDecision, handle_heartbeat};
 use crate::coordination::worker_leases::cancellation_freshness::{
     CancellationFreshness, staleness_bound,
 };
 use crate::protocol::TaskId;
+use crate::protocol::cloud::MachineType;
 use crate::protocol::kv::WatchEvent;
 use crate::protocol::peer_messages::{CancellationsRequest, ConfirmedCancellations};
 use crate::protocol::users::{JobSpec, JobStage, Submission, parse_submission};
 use crate::protocol::workers::{Command, TaskState, TaskStatus};
 use crate::storage::keys;
-use crate::storage::records::{FORMAT_VERSION, FinalRecord, JobRecord};
+use crate::storage::records::{FORMAT_VERSION, FinalRecord, JobRecord, RosterRecord};
 
 const TOKEN: u64 = 9;
 /// The revision of the job's acceptance.
@@ -77,6 +82,7 @@
                 ACCEPTED_REVISION,
                 record.clone(),
             )],
+            roster: vec![roster_machine()],
             ..RecoveredState::default()
         };
         let accepted = WatchEvent::Put {
@@ -90,6 +96,9 @@
             node.lock().cancellations.record_catch_up(now);
         }
         let lease = make_leader_with_state(&leader, TOKEN, recovered);
+        leader.with_shard(&lease, "types", |shard, _| {
+            shard.set_machine_types(&[machine_type()]);
+        });
         let _ = leader.clients.kv.get("o/0/owner", KV_DEADLINE).await;
         Self {
             clock,
@@ -139,20 +148,68 @@
     /// Delivers to the leader a heartbeat of the worker that runs the job's task; returns the
     /// commands of the answer, or None if the worker's lease is not renewed.
     fn heartbeat(&mut self) -> Option<Vec<Command>> {
-        self.sequence += 1;
-        let mut heartbeat = heartbeat(TOKEN);
-        heartbeat.sequence = self.sequence;
-        heartbeat.tasks = vec![TaskStatus {
+        self.heartbeat_listing(vec![TaskStatus {
             task: TaskId::parse("run-000001/0").expect("a task"),
             attempt: 1,
             state: TaskState::Running,
             outcome: None,
-        }];
+        }])
+    }
+
+    /// Delivers to the leader a heartbeat of the worker that lists these tasks; returns the commands
+    /// of the answer, or None if the worker's lease is not renewed.
+    fn heartbeat_listing(&mut self, tasks: Vec<TaskStatus>) -> Option<Vec<Command>> {
+        self.sequence += 1;
+        let mut heartbeat = heartbeat(TOKEN);
+        heartbeat.sequence = self.sequence;
+        heartbeat.tasks = tasks;
         match handle_heartbeat(&self.leader, &heartbeat) {
             HeartbeatDecision::Renewed(answer) => Some(answer.commands),
             _ => None,
         }
     }
+
+    /// Lets the leader decide, and returns how many launches are due on the worker's machine.
+    fn count_launches(&self) -> usize {
+        let launches = self.leader.with_shard(&self.lease, "ticks", |shard, now| {
+            shard.tick(now);
+            let machine = shard.machines().get("vm-1").expect("the machine");
+            let is_launching = |attempt: &&Attempt| attempt.phase == Phase::Launching;
+            machine.attempts.values().filter(is_launching).count()
+        });
+        launches.expect("the leader leads")
+    }
+}
+
+/// The machine on which the job's task runs, as it stands on the roster.
+fn roster_machine() -> RecoveredMachine {
+    let heartbeat = heartbeat(TOKEN);
+    RecoveredMachine {
+        id: heartbeat.machine,
+        page: 0,
+        record: RosterRecord {
+            addr: heartbeat.addr,
+            machine_type: heartbeat.machine_type,
+            zone: heartbeat.zone,
+            spot: heartbeat.spot,
+            deleting: false,
+        },
+    }
+}
+
+fn machine_type() -> MachineType {
+    MachineType {
+        name: heartbeat(TOKEN).machine_type,
+        cores: 8.0,
+        accelerators: 0.0,
+        mem_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: None,
+        startup_s: 10.0,
+        zones: vec!["north".into()],
+    }
 }
 
 /// Whether an answer stops a task. Panics if the worker was not answered.
@@ -219,6 +276,74 @@
     assert!(outage.heartbeat().is_some());
 }
 
+/// Guards against `ran_cancelled`: the job was cancelled through a controller that then crashed, and
+/// the leader, which had let the worker's lease end, launched the task again.
+#[tokio::test]
+async fn a_leader_without_fresh_cancellations_starts_no_task() {
+    let mut outage = StoreOutage::new().await;
+    let bound = staleness_bound(&outage.leader.settings);
+    assert!(outage.heartbeat().is_some());
+    outage.cancel_through_peer();
+    outage.advance(bound);
+    // The worker has lost the task.
+    assert_eq!(outage.heartbeat_listing(Vec::new()), None);
+    for _ in 0..60 {
+        assert_eq!(outage.count_launches(), 0);
+        outage.advance(seconds(1));
+        assert_eq!(outage.heartbeat_listing(Vec::new()), None);
+    }
+    // The key-value store answers again. A catch-up read would show the cancellation.
+    outage
+        .leader
+        .lock()
+        .cancellations
+        .record_catch_up(outage.leader.now());
+    outage.record_confirmations_of(&outage.peer.clone());
+    assert_eq!(outage.count_launches(), 0);
+}
+
+/// All controllers live, so the leader learns of all cancellations: a task that its worker loses
+/// starts again, however long the outage has lasted.
+#[tokio::test]
+async fn a_leader_with_fresh_cancellations_starts_accepted_work_in_an_outage() {
+    let mut outage = StoreOutage::new().await;
+    let bound = staleness_bound(&outage.leader.settings);
+    for _ in 0..2 * bound.as_secs() {
+        outage.advance(seconds(1));
+        outage.record_confirmations_of(&outage.peer.clone());
+        assert!(outage.heartbeat().is_some());
+    }
+    assert!(outage.heartbeat_listing(Vec::new()).is_some());
+    assert_eq!(outage.count_launches(), 1);
+}
+
+/// A batch may wait before it is sent, and its launches need a permit when it is.
+#[tokio::test]
+async fn a_launch_that_waited_past_the_run_deadline_is_not_sent() {
+    let outage = StoreOutage::new().await;
+    let worker = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let launch = |worker: &TcpListener| Action::Command {
+        machine: "vm-1".into(),
+        addr: worker.local_addr().expect("its address").to_string(),
+        agent_epoch: 1,
+        number: 1,
+        commands: vec![Command::Launch {
+            task: TaskId::parse("run-000001/0").expect("a task"),
+            attempt: 1,
+        }],
+    };
+    let execute = || execute(outage.leader.clone(), outage.lease.clone(), launch(&worker));
+    tokio::select! {
+        () = execute() => panic!("the worker does not answer"),
+        connection = worker.accept() => assert!(connection.is_ok()),
+    }
+    outage.advance(staleness_bound(&outage.leader.settings));
+    tokio::select! {
+        () = execute() => {}
+        _ = worker.accept() => panic!("the launch was sent"),
+    }
+}
+
 /// The controller that cancelled the job has crashed. Its next incarnation does not know of the
 /// cancellation, so the confirmations of that incarnation must not count.
 #[tokio::test]
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -16,6 +16,9 @@
 use crate::settings::platform::tests::EXAMPLE;
 use crate::settings::{Operator, Platform, Settings};
 
+/// An address at which nothing listens.
+const UNREACHABLE: &str = "127.0.0.1:1";
+
 /// The controller `n0`, whose only peer is `n1`.
 fn node(clock: Arc<FakeClock>) -> Arc<Node> {
     controller(clock, EXAMPLE)
@@ -44,7 +47,7 @@
 fn heartbeat(fencing_token: u64) -> WorkerHeartbeat {
     WorkerHeartbeat {
         machine: "vm-1".into(),
-        addr: "10.0.0.1:9000".into(),
+        addr: UNREACHABLE.into(),
         machine_type: "m8".into(),
         zone: "north".into(),
         spot: false,
--- a/src/coordination/worker_heartbeats.rs
+++ b/src/coordination/worker_heartbeats.rs
@@ -9,8 +9,9 @@
 
 use super::node::Node;
 use super::shard::{HeartbeatOutcome, delegate_commands};
+use super::worker_leases::run_permit::RunPermit;
 use crate::protocol::FencingToken;
-use crate::protocol::workers::{HeartbeatResponse, Redirect, WorkerHeartbeat};
+use crate::protocol::workers::{Command, HeartbeatResponse, Redirect, WorkerHeartbeat};
 
 /// How a heartbeat is answered, with the HTTP status of each answer.
 #[derive(Debug, Clone, PartialEq)]
@@ -43,22 +44,24 @@
         shard.heartbeat(heartbeat, now)
     })?;
     // The shard's decision takes time, so the lease has to be checked again.
-    let now = node.now();
-    if !lease.is_live(now) {
+    if !lease.is_live(node.now()) {
         return None;
     }
-    let commands = match outcome {
-        HeartbeatOutcome::Refuse => return Some(HeartbeatDecision::Refused),
-        HeartbeatOutcome::Answer(commands) => commands,
-    };
-    if !node.may_renew_leases(now) {
-        let no_known_leader = Redirect { leader: None };
-        return Some(HeartbeatDecision::Redirected(no_known_leader));
-    }
-    Some(HeartbeatDecision::Renewed(HeartbeatResponse {
-        fencing_token: lease.fencing_token,
+    Some(match outcome {
+        HeartbeatOutcome::Refuse => HeartbeatDecision::Refused,
+        HeartbeatOutcome::Withhold => HeartbeatDecision::Redirected(Redirect { leader: None }),
+        HeartbeatOutcome::Answer { commands, permit } => {
+            renew(&permit, lease.fencing_token, commands)
+        }
+    })
+}
+
+/// The answer that renews the worker's lease.
+fn renew(_: &RunPermit, fencing_token: FencingToken, commands: Vec<Command>) -> HeartbeatDecision {
+    HeartbeatDecision::Renewed(HeartbeatResponse {
+        fencing_token,
         commands,
-    }))
+    })
 }
 
 /// Renews the worker's lease on behalf of a leader that can't. Returns `None` if this controller
@@ -67,16 +70,11 @@
     node: &Arc<Node>,
     heartbeat: &WorkerHeartbeat,
 ) -> Option<HeartbeatDecision> {
-    if !node.may_renew_leases(node.now()) {
-        return None;
-    }
+    let permit = node.run_permit()?;
     let fencing_token = node.delegated_fencing_token(heartbeat)?;
     apply_to_own_shard(node, fencing_token, heartbeat);
     let commands = delegate_commands(heartbeat, |job| node.job_index.is_open(job));
-    Some(HeartbeatDecision::Renewed(HeartbeatResponse {
-        fencing_token,
-        commands,
-    }))
+    Some(renew(&permit, fencing_token, commands))
 }
 
 /// Applies the heartbeat to this controller's own shard if the shard's lease has this fencing
--- a/src/coordination/worker_leases/authority.rs
+++ b/src/coordination/worker_leases/authority.rs
@@ -1,9 +1,10 @@
-//! Decides by which authority, if any, this controller may renew a worker's lease.
+//! Decides by which authority, if any, this controller may let a worker's tasks run.
 //!
 //! An answer to a worker's heartbeat renews the worker's lease, so that its tasks keep running. A
 //! controller needs two things to answer: a fencing token that the worker accepts, as the leader
 //! or on the leader's behalf, and recent enough knowledge of the cancellations that were confirmed
-//! to users (see [`cancellation_freshness`]).
+//! to users (see [`cancellation_freshness`]), for which it gets a [`RunPermit`]. To start a task the
+//! leader needs the same.
 //!
 //! These are methods of [`Node`] because they combine the state behind its lock with its
 //! settings and with the health of its client for the store.
@@ -14,6 +15,7 @@
 
 use super::advance_delegation::{self, AdvanceDelegation};
 use super::cancellation_freshness;
+use super::run_permit::{RunDeadline, RunPermit};
 use crate::coordination::node::Node;
 use crate::coordination::node::state::NodeState;
 use crate::protocol::FencingToken;
@@ -28,21 +30,28 @@
         state.cancellations.known_up_to(node_ids, now)
     }
 
-    /// Whether this node's knowledge of cancellations is recent enough to renew workers' leases, by
-    /// whatever authority: after a renewal their tasks may run for a whole lease.
-    pub fn may_renew_leases(&self, now: Instant) -> bool {
-        let mut state = self.lock();
-        let known = self.cancellations_known_up_to(&state, now);
+    /// Returns a permit to start tasks or to renew workers' leases now, by whatever authority, if
+    /// this node's knowledge of cancellations is recent enough.
+    pub fn run_permit(&self) -> Option<RunPermit> {
+        let now = self.now();
+        self.run_deadline(&mut self.lock(), now).permit(now)
+    }
+
+    /// Until when this node may start tasks and renew workers' leases, as of `now`. Logs a change
+    /// of whether it may.
+    pub fn run_deadline(&self, state: &mut NodeState, now: Instant) -> RunDeadline {
+        let known = self.cancellations_known_up_to(state, now);
         let bound = cancellation_freshness::staleness_bound(&self.settings);
-        let may_renew = known.is_some_and(|known| now < known + bound);
+        let deadline = RunDeadline::new(known, bound);
+        let may_run = deadline.permit(now).is_some();
         // Before the first catch-up read there are no renewals to suspend, and nothing to log.
         if let Some(known) = known
-            && state.renewals_suspended == may_renew
+            && state.renewals_suspended == may_run
         {
-            state.renewals_suspended = !may_renew;
-            log_renewals_changed(may_renew, now.saturating_duration_since(known), bound);
+            state.renewals_suspended = !may_run;
+            log_renewals_changed(may_run, now.saturating_duration_since(known), bound);
         }
-        may_renew
+        deadline
     }
 
     /// The fencing token under which this node, when it doesn't act as the leader, may renew a
--- a/src/coordination/worker_leases/cancellation_freshness.rs
+++ b/src/coordination/worker_leases/cancellation_freshness.rs
@@ -1,9 +1,10 @@
 //! Cancellation freshness: up to when a controller knows of every cancellation that any
 //! controller confirmed to a user.
 //!
-//! An answer to a worker's heartbeat lets the worker's tasks run for a whole lease. So a controller
-//! may give such an answer only if it knows of all cancellations that may have been confirmed
-//! longer ago than `cancel_s` less that lease: the [`staleness_bound`]. It knows of all
+//! An answer to a worker's heartbeat lets the worker's tasks run for a whole lease, and so may the
+//! launch of a task. So a controller may answer or launch only if it knows of all cancellations
+//! that may have been confirmed longer ago than `cancel_s` less that lease: the
+//! [`staleness_bound`]. It knows of all
 //! cancellations confirmed before it sent its last successful catch-up read of the jobs, and of all
 //! that another controller confirmed before it sent that controller a query which was answered. If
 //! the other controller's process started after the moment up to which that controller's
@@ -20,8 +21,8 @@
 /// end than a worker's lease lasts: without any renewals, all tasks would end.
 const MIN_STALENESS_BOUND: Duration = Duration::from_secs(3);
 
-/// The staleness bound: how long workers' leases may be renewed after the moment up to
-/// which all cancellations are known.
+/// The staleness bound: how long tasks may be started and workers' leases renewed after the moment
+/// up to which all cancellations are known.
 pub fn staleness_bound(settings: &Settings) -> Duration {
     advance_delegation::cancel_time_beyond_lease(settings).max(MIN_STALENESS_BOUND)
 }
--- a/src/coordination/worker_leases/mod.rs
+++ b/src/coordination/worker_leases/mod.rs
@@ -1,15 +1,17 @@
-//! The authority to renew workers' leases.
+//! The authority to let workers' tasks run.
 //!
-//! An answer to a worker's heartbeat renews that worker's lease, so that its tasks keep running.
-//! This module owns the rules by which a controller may give such an answer: as the leader, as a
-//! delegate, or by an advance delegation, and in each case only with recent enough knowledge of
-//! the cancellations that were confirmed to users. The handler of workers' heartbeats calls it, and
-//! peering supplies what other controllers state. This module itself sends nothing, and answers no
-//! worker.
+//! An answer to a worker's heartbeat renews that worker's lease, so that its tasks keep running, and
+//! a launch starts a task that runs for the rest of the lease. This module owns the rules by which
+//! a controller may do either: renew leases as the leader, as a delegate, or by an advance
+//! delegation, and in each case, as for launches, only with recent enough knowledge of the
+//! cancellations that were confirmed to users ([`run_permit`]). The handler of workers' heartbeats,
+//! the shard and the action executor ask for permits, and peering supplies what other controllers
+//! state. This module itself sends nothing, and answers no worker.
 
 pub mod advance_delegation;
 mod authority;
 pub mod cancellation_freshness;
+pub mod run_permit;
 
 use std::time::Duration;
 
--- a/tests/trial/older_controller.rs
+++ b/tests/trial/older_controller.rs
@@ -44,8 +44,8 @@
     let lease = ShardLease::new(1, FencingToken::new(9), now, now + extension, now);
     assert!(all_grant_extension(&node, extension).await);
     assert!(!all_vote_for_revival(&node, &lease, extension).await);
-    // The leader renews workers' leases only until its own last catch-up read is older than the
-    // staleness bound.
+    // The leader renews workers' leases and starts tasks only until its own last catch-up read is
+    // older than the staleness bound.
     let staleness_bound = cancellation_freshness::staleness_bound(&node.settings);
     node.lock().cancellations.record_catch_up(now);
     query_cancellations(node.clone(), node.settings.platform.others[0].clone(), 0).await;
@@ -53,6 +53,7 @@
         node.lock().peers.older_versions.contains_key("n1"),
         "the peer is recorded as an older version, and not queried again for a while"
     );
-    assert!(node.may_renew_leases(now + staleness_bound - DEADLINE));
-    assert!(!node.may_renew_leases(now + staleness_bound));
+    let permit_at = |at: Instant| node.run_deadline(&mut node.lock(), at).permit(at);
+    assert!(permit_at(now + staleness_bound - DEADLINE).is_some());
+    assert!(permit_at(now + staleness_bound).is_none());
 }
--- a/tests/upgrade/cluster.rs
+++ b/tests/upgrade/cluster.rs
@@ -11,6 +11,7 @@
 use valegap::coordination::shard::{
     Action, CommandOutcome, HeartbeatOutcome, Policy, RentalOutcome, Shard, ShardWrite,
 };
+use valegap::coordination::worker_leases::run_permit::RunDeadline;
 use valegap::protocol::FencingToken;
 use valegap::protocol::cloud::MachineType;
 use valegap::protocol::kv::{KeyValue, Mutation};
@@ -24,6 +25,8 @@
 
 /// How long each leader serves, in seconds. The leader writes a snapshot within this time.
 const LEADER_TERM_S: u64 = 8;
+/// How long a leader knows of all cancellations: longer than any leader of these tests serves.
+const CANCELLATIONS_KNOWN: Duration = Duration::from_secs(3600);
 
 fn settings() -> Settings {
     let settings = ControllerSettings::new("n9").to_json();
@@ -111,6 +114,7 @@
             wall_clock_ms,
         );
         shard.set_machine_types(&[machine_type()]);
+        shard.set_run_deadline(RunDeadline::new(Some(self.now), CANCELLATIONS_KNOWN));
         shard
     }
 
@@ -218,7 +222,8 @@
             worker.sequence += 1;
             worker.fencing_token = self.fencing_token;
             let heartbeat = worker.clone();
-            if let HeartbeatOutcome::Answer(commands) = shard.heartbeat(&heartbeat, self.now) {
+            if let HeartbeatOutcome::Answer { commands, .. } = shard.heartbeat(&heartbeat, self.now)
+            {
                 self.execute_commands(&machine, &commands);
             }
             self.reconcile(shard);
