Trials: which tasks start in an outage of the key-value store, with controller processes

Change: the stand-in store can refuse one controller or all (as PROTOCOL says, open watches wait and leases get their full time again), and the stand-in workers keep leases. Two trials: a cancelled task does not start again when the controller that confirmed the cancellation restarts in an outage; accepted tasks go on to start in an outage in which all controllers live, also after the staleness bound of 4.8 s.

Two clusters with one prefix are refused now.

--- a/tests/trial/main.rs
+++ b/tests/trial/main.rs
@@ -11,6 +11,7 @@
 mod older_controller;
 #[path = "../support/settings.rs"]
 mod settings;
+mod store_outage;
 mod support;
 mod upgrade;
 mod user_requests;
--- a/tests/trial/support/cloud.rs
+++ b/tests/trial/support/cloud.rs
@@ -2,7 +2,6 @@
 //! rented, and stops when the machine is deleted.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,14 +14,14 @@
 use tokio::task::JoinHandle;
 use valegap::protocol::cloud::{MachineNames, Rental};
 
-use super::worker;
+use super::worker::{self, WorkerSettings};
 
 /// How many machines can be rented at the same time.
 const MAX_RENTED_MACHINES: usize = 4;
 
 #[derive(Clone)]
 struct Cloud {
-    controllers: Arc<Vec<(String, SocketAddr)>>,
+    workers: Arc<WorkerSettings>,
     state: Arc<Mutex<CloudState>>,
 }
 
@@ -42,11 +41,10 @@
     granted: BTreeMap<String, Vec<String>>,
 }
 
-/// The HTTP routes of a cloud. The workers of its machines send heartbeats to these controllers,
-/// each given by its node id and address.
-pub(crate) fn router(controllers: Vec<(String, SocketAddr)>) -> Router {
+/// The HTTP routes of a cloud whose machines' workers have these settings.
+pub(crate) fn router(workers: WorkerSettings) -> Router {
     let cloud = Cloud {
-        controllers: Arc::new(controllers),
+        workers: Arc::new(workers),
         state: Arc::default(),
     };
     Router::new()
@@ -74,11 +72,11 @@
     for _ in 0..available.min(rental.count as usize) {
         state.last_machine_number += 1;
         let name = format!("vm-{:06}", state.last_machine_number);
-        let controllers = cloud.controllers.clone();
+        let settings = cloud.workers.clone();
         let (machine_id, spot) = (name.clone(), rental.spot);
         let worker = tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(300)).await;
-            worker::run(machine_id, spot, controllers).await;
+            worker::run(machine_id, spot, settings).await;
         });
         state.machines.insert(
             name.clone(),
--- a/tests/trial/support/cluster.rs
+++ b/tests/trial/support/cluster.rs
@@ -14,6 +14,7 @@
 use valegap::transport::client::{Answer, HttpClient};
 
 use super::kv::KvStore;
+use super::worker::WorkerSettings;
 use crate::settings::{ControllerSettings, Peer};
 use crate::support;
 
@@ -62,6 +63,20 @@
     }
 }
 
+/// Settings in which clusters differ.
+pub(crate) struct ClusterOptions {
+    /// The duration of workers' leases in seconds.
+    pub(crate) worker_lease_s: f64,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self {
+            worker_lease_s: WORKER_LEASE_S,
+        }
+    }
+}
+
 pub(crate) struct Cluster {
     controllers: Vec<Controller>,
     client: HttpClient,
@@ -70,16 +85,17 @@
 impl Cluster {
     /// Starts three controllers, whose node ids are this prefix and a number from 0 to 2.
     pub(crate) async fn start(node_id_prefix: &str) -> Self {
-        Self::start_on(KvStore::default(), node_id_prefix, WORKER_LEASE_S).await
+        let options = ClusterOptions::default();
+        Self::start_on(KvStore::default(), node_id_prefix, options).await
     }
 
-    /// Starts three controllers that use the key-value store of the caller, and grant workers'
-    /// leases of `worker_lease_s` seconds.
+    /// Starts three controllers that use the key-value store of the caller.
     pub(crate) async fn start_on(
         store: KvStore,
         node_id_prefix: &str,
-        worker_lease_s: f64,
+        options: ClusterOptions,
     ) -> Self {
+        claim_prefix(node_id_prefix);
         let node_ids = [0, 1, 2].map(|n| format!("{node_id_prefix}{n}"));
         let public_addresses = [0, 1, 2].map(|_| unused_address());
         let peers: Vec<Peer> = node_ids
@@ -92,9 +108,15 @@
         for node_id in &node_ids {
             let _ = std::fs::remove_file(log_path(node_id));
         }
-        let kv = support::serve(support::kv::routes(store)).await;
-        let addresses_by_node_id = node_ids.iter().cloned().zip(public_addresses);
-        let cloud = support::serve(support::cloud::router(addresses_by_node_id.collect())).await;
+        let mut kv = Vec::new();
+        for index in 0..node_ids.len() {
+            kv.push(support::serve(support::kv::routes_for(store.clone(), index)).await);
+        }
+        let workers = WorkerSettings {
+            controllers: node_ids.iter().cloned().zip(public_addresses).collect(),
+            lease: Duration::from_secs_f64(options.worker_lease_s),
+        };
+        let cloud = support::serve(support::cloud::router(workers)).await;
         let settings = |index: usize| ControllerSettings {
             public_address: public_addresses[index],
             internal_address: peers[index].internal_address,
@@ -104,8 +126,8 @@
                 .cloned()
                 .collect(),
             cloud,
-            kv,
-            worker_lease_s,
+            kv: kv[index],
+            worker_lease_s: options.worker_lease_s,
             clock_skew_ms: CLOCK_SKEW_MS,
             ..ControllerSettings::new(&node_ids[index])
         };
@@ -260,6 +282,16 @@
     }
 }
 
+/// Panics if two tests use the same prefix of node ids, by which settings files are named.
+fn claim_prefix(node_id_prefix: &str) {
+    static CLAIMED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+    let mut claimed = CLAIMED.lock().expect("prefixes");
+    assert!(
+        claimed.insert(node_id_prefix.to_owned()),
+        "two clusters have the node id prefix {node_id_prefix:?}"
+    );
+}
+
 /// The ports for controllers. The system assigns none of them to outgoing connections: if it did, a
 /// connection of another test could take a port after it is chosen and before the controller's
 /// process starts or restarts.
--- a/tests/trial/support/kv.rs
+++ b/tests/trial/support/kv.rs
@@ -8,12 +8,15 @@
 use axum::Router;
 use axum::extract::{Path, Query, State};
 use axum::http::StatusCode;
+use axum::middleware::from_fn_with_state;
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::{delete, get, post};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use valegap::protocol::kv::{KeyValue, LeaseRequest, Mutation, Precondition, Transaction};
 
+use super::refusal::{Gate, Refusal, Refused, refuse};
+
 /// A key's value, the revision of its last change, and the lease that the key is attached to, if
 /// any: the key is deleted when the lease ends.
 struct StoredKey {
@@ -98,6 +101,14 @@
         }
     }
 
+    /// Gives all leases their full time again, as after an outage.
+    fn extend_leases(&mut self) {
+        let now = Instant::now();
+        for lease in self.leases.values_mut() {
+            lease.expires_at = now + lease.time_to_live;
+        }
+    }
+
     /// Deletes a lease and the keys attached to it.
     fn revoke_lease(&mut self, id: u64) {
         if self.leases.remove(&id).is_none() {
@@ -133,6 +144,8 @@
     /// Wakes watches when the store may have changed.
     changed: Arc<Notify>,
     delayed: Arc<Mutex<DelayedTransactions>>,
+    /// Which controllers the store refuses.
+    pub(crate) refusal: Refusal,
 }
 
 impl KvStore {
@@ -212,13 +225,27 @@
         .unwrap_or(0)
 }
 
+/// The HTTP routes of a store for one controller, which the store may refuse.
+pub(crate) fn routes_for(service: KvStore, controller: usize) -> Router {
+    let gate = Gate {
+        refusal: service.refusal.clone(),
+        controller,
+    };
+    routes(service).layer(from_fn_with_state(gate, refuse))
+}
+
 /// The HTTP routes of a store. Also starts the task that expires the store's leases.
 pub(crate) fn routes(service: KvStore) -> Router {
     let expiring = service.clone();
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(Duration::from_millis(20)).await;
-            expiring.store.lock().expect("store").expire_leases();
+            let mut store = expiring.store.lock().expect("store");
+            match expiring.refusal.get() {
+                Refused::Everybody => store.extend_leases(),
+                _ => store.expire_leases(),
+            }
+            drop(store);
             expiring.changed.notify_waiters();
         }
     });
--- a/tests/trial/support/mod.rs
+++ b/tests/trial/support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cloud;
 pub(crate) mod cluster;
 pub(crate) mod kv;
+pub(crate) mod refusal;
 pub(crate) mod worker;
 
 use std::net::SocketAddr;
--- a/tests/trial/support/worker.rs
+++ b/tests/trial/support/worker.rs
@@ -2,6 +2,7 @@
 //! in the answers and those that a leader sends directly. Its tasks do no work; each is done after
 //! a fixed time.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -51,6 +52,31 @@
         .insert(job.to_owned(), tasks);
 }
 
+/// The services registered by a test. Their tasks run until they are stopped.
+static SERVICES: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+/// How many attempts of each job's tasks all workers have started.
+static LAUNCHES: Mutex<BTreeMap<String, usize>> = Mutex::new(BTreeMap::new());
+
+/// Tells the simulated workers that a job is a service. A test calls this before it submits the
+/// service.
+pub(crate) fn register_service(job: &str) {
+    SERVICES.lock().expect("services").insert(job.to_owned());
+}
+
+/// How many attempts of a job's tasks the workers have started.
+pub(crate) fn launch_count(job: &str) -> usize {
+    let launches = LAUNCHES.lock().expect("launches");
+    launches.get(job).copied().unwrap_or(0)
+}
+
+/// What the workers of a cloud's machines have in common.
+pub(crate) struct WorkerSettings {
+    /// The node ids and addresses of the controllers, to which the workers send heartbeats.
+    pub(crate) controllers: Vec<(String, SocketAddr)>,
+    /// How long tasks run after the sending of the last heartbeat that was answered.
+    pub(crate) lease: Duration,
+}
+
 /// Records that a task of a gang is launched. The gang starts when its last task is launched. Does
 /// nothing if the task's job is not a registered gang.
 fn record_gang_task(task: &TaskId, attempt: u64) {
@@ -93,6 +119,10 @@
     sequence: u64,
     /// The highest fencing token of a leader that the worker has seen.
     fencing_token: FencingToken,
+    agent_epoch: u64,
+    lease: Duration,
+    /// When the last heartbeat that was answered was sent, or the agent epoch began.
+    lease_renewed_at: Instant,
     /// The tasks by their ids and attempt numbers, until a leader clears them.
     tasks: BTreeMap<(TaskId, u64), TaskAttempt>,
 }
@@ -104,10 +134,25 @@
 }
 
 impl Machine {
+    /// If the lease has expired, kills all tasks and begins the next agent epoch.
+    fn expire_lease(&mut self) {
+        if self.lease_renewed_at.elapsed() > self.lease {
+            self.tasks.clear();
+            self.agent_epoch += 1;
+            self.sequence = 0;
+            self.lease_renewed_at = Instant::now();
+        }
+    }
+
     /// Ends the tasks that have run for [`TASK_DURATION`], and returns the next heartbeat.
     fn heartbeat(&mut self) -> WorkerHeartbeat {
+        self.expire_lease();
         self.sequence += 1;
+        let services = SERVICES.lock().expect("services");
         for ((task, attempt), task_attempt) in &mut self.tasks {
+            if services.contains(&*task.job) {
+                continue;
+            }
             let started_at = match gang_start(task, *attempt) {
                 GangStart::NotInGang => task_attempt.launched_at,
                 GangStart::Waiting => continue,
@@ -123,7 +168,7 @@
             machine_type: "m4".into(),
             zone: "north".into(),
             spot: self.spot,
-            agent_epoch: 1,
+            agent_epoch: self.agent_epoch,
             sequence: self.sequence,
             fencing_token: self.fencing_token,
             preemption_notice_s: None,
@@ -151,11 +196,7 @@
             match command {
                 Command::Launch { task, attempt } => {
                     record_gang_task(&task, attempt);
-                    let entry = self.tasks.entry((task, attempt));
-                    entry.or_insert(TaskAttempt {
-                        launched_at: Instant::now(),
-                        outcome: None,
-                    });
+                    self.launch(task, attempt);
                 }
                 Command::Stop { task, attempt, .. } => {
                     if let Some(task_attempt) = self.tasks.get_mut(&(task, attempt)) {
@@ -170,6 +211,21 @@
     }
 }
 
+impl Machine {
+    /// Starts an attempt, unless the worker has it already.
+    fn launch(&mut self, task: TaskId, attempt: u64) {
+        let job = task.job.to_string();
+        if let Entry::Vacant(entry) = self.tasks.entry((task, attempt)) {
+            entry.insert(TaskAttempt {
+                launched_at: Instant::now(),
+                outcome: None,
+            });
+            let mut launches = LAUNCHES.lock().expect("launches");
+            *launches.entry(job).or_default() += 1;
+        }
+    }
+}
+
 type SharedMachine = Arc<Mutex<Machine>>;
 
 /// Executes the commands that a leader sends directly. Refuses them with 409 if their fencing token
@@ -179,7 +235,9 @@
     Json(batch): Json<CommandBatch>,
 ) -> Response {
     let mut machine = machine.lock().expect("machine");
-    let accepted = batch.fencing_token >= machine.fencing_token && batch.agent_epoch == 1;
+    machine.expire_lease();
+    let accepted =
+        batch.fencing_token >= machine.fencing_token && batch.agent_epoch == machine.agent_epoch;
     if accepted {
         machine.fencing_token = batch.fencing_token;
         machine.execute(batch.commands);
@@ -193,7 +251,7 @@
 }
 
 /// Runs a worker until its machine is deleted.
-pub(crate) async fn run(id: String, spot: bool, controllers: Arc<Vec<(String, SocketAddr)>>) {
+pub(crate) async fn run(id: String, spot: bool, settings: Arc<WorkerSettings>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("an address").to_string();
     let machine: SharedMachine = Arc::new(Mutex::new(Machine {
@@ -202,12 +260,15 @@
         addr,
         sequence: 0,
         fencing_token: FencingToken::default(),
+        agent_epoch: 1,
+        lease: settings.lease,
+        lease_renewed_at: Instant::now(),
         tasks: BTreeMap::new(),
     }));
     let router = Router::new()
         .route("/commands", post(handle_commands))
         .with_state(machine.clone());
-    let heartbeats = send_heartbeats(machine, controllers);
+    let heartbeats = send_heartbeats(machine, settings);
     tokio::select! {
         served = async { axum::serve(listener, router).await } => served.expect("serving"),
         () = heartbeats => {}
@@ -217,10 +278,12 @@
 /// Sends a heartbeat in each interval, to the same controller as long as that controller accepts
 /// them. If it doesn't, the next heartbeat goes to the leader that its answer names, or else to the
 /// next controller of the list.
-async fn send_heartbeats(machine: SharedMachine, controllers: Arc<Vec<(String, SocketAddr)>>) {
+async fn send_heartbeats(machine: SharedMachine, settings: Arc<WorkerSettings>) {
+    let controllers = &settings.controllers;
     let client = HttpClient::new();
     let mut current = 0;
     loop {
+        let sent = Instant::now();
         let heartbeat = machine.lock().expect("machine").heartbeat();
         let body = serde_json::to_vec(&heartbeat).expect("a heartbeat");
         let answer = client
@@ -238,7 +301,9 @@
                 let answer: HeartbeatResponse =
                     serde_json::from_slice(&answer.body).expect("a heartbeat's answer");
                 let mut machine = machine.lock().expect("machine");
-                if answer.fencing_token >= machine.fencing_token {
+                let is_of_epoch = heartbeat.agent_epoch == machine.agent_epoch;
+                if is_of_epoch && answer.fencing_token >= machine.fencing_token {
+                    machine.lease_renewed_at = machine.lease_renewed_at.max(sent);
                     machine.fencing_token = answer.fencing_token;
                     machine.execute(answer.commands);
                 }
