Take no task off a slow machine while no task may start; freshness on the status page

Cause: tasks of slow machines are stopped so that they start elsewhere, which they can't while cancellations may be unknown. And an operator saw only in the log why tasks wait. Change: the check of slow machines goes by Shard::may_start_tasks, as preemption and moves do; the status page says how old the knowledge of cancellations is and what follows.

Result: a_slow_machine_is_emptied_only_before_the_run_deadline fails without the check (5 stops).

--- a/src/coordination/node/status.rs
+++ b/src/coordination/node/status.rs
@@ -3,10 +3,11 @@
 //! A method of [`Node`] because the page covers most of what the node holds.
 
 use std::fmt::{self, Write};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Node;
 use super::state::{Leadership, PeerView};
+use crate::coordination::worker_leases::cancellation_freshness::staleness_bound;
 
 impl Node {
     /// Renders the status page.
@@ -35,6 +36,8 @@
             "key-value store: {} answers, p50 {:?}, p99 {:?}, longest {:?}",
             latencies.answered_requests, latencies.p50, latencies.p99, latencies.max,
         )?;
+        let known = self.cancellations_known_up_to(&state, now);
+        write_freshness(page, known, staleness_bound(&self.settings), now)?;
         for view in state.peers.views.values() {
             write_peer(page, view, now)?;
         }
@@ -45,6 +48,27 @@
     }
 }
 
+fn write_freshness(
+    page: &mut String,
+    known_up_to: Option<Instant>,
+    bound: Duration,
+    now: Instant,
+) -> fmt::Result {
+    let Some(known) = known_up_to else {
+        return writeln!(page, "cancellations: unknown, the jobs were not read yet");
+    };
+    let age = now.saturating_duration_since(known);
+    let effect = if age < bound {
+        "tasks may start and workers' leases be renewed"
+    } else {
+        "no task is started and no worker's lease renewed"
+    };
+    writeln!(
+        page,
+        "cancellations: known up to {age:?} ago, bound {bound:?}: {effect}"
+    )
+}
+
 fn write_peer(page: &mut String, view: &PeerView, now: Instant) -> fmt::Result {
     let heartbeat = &view.heartbeat;
     let kv = if heartbeat.kv_served {
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -122,7 +122,10 @@
         self.expire_leases(now);
         if self.running_tasks.recount_if_due(&self.machines, now) {
             self.note_successes_by_run_time(now);
-            self.find_slow_machines(now);
+            // The tasks of a slow machine are stopped so that they start on other machines.
+            if self.may_start_tasks(now) {
+                self.find_slow_machines(now);
+            }
         }
         self.probe_due_machines(now);
         self.autoscale(now);
--- a/src/coordination/shard/tests/run_deadline.rs
+++ b/src/coordination/shard/tests/run_deadline.rs
@@ -9,7 +9,7 @@
 use crate::coordination::shard::{CommandOutcome, HeartbeatOutcome};
 use crate::coordination::worker_leases::run_permit::RunDeadline;
 use crate::protocol::users::{JobSpec, Priority};
-use crate::protocol::workers::Command;
+use crate::protocol::workers::{AttemptOutcome, Command, TaskState};
 
 /// The run deadline passes.
 fn suspend(script: &mut ScriptedShard) {
@@ -119,6 +119,38 @@
     assert_eq!(count_stops(&execute_commands(&mut script, "vm-1")), 5);
 }
 
+/// The tasks of a slow machine are stopped so that they start on other machines.
+#[test]
+fn a_slow_machine_is_emptied_only_before_the_run_deadline() {
+    let mut script = ScriptedShard::empty();
+    script.add_machines(&["vm-1", "vm-2"]);
+    // Five tasks go to each machine; those of vm-1 end soon.
+    script.submit("run-1", spec("blue", 1.0, 10));
+    assert_eq!(script.execute_launches().len(), 10);
+    for id in ["vm-1", "vm-2"] {
+        script.report_all_in_state(id, TaskState::Running);
+    }
+    script.now += Duration::from_secs(5);
+    script.report_all_ended("vm-1", AttemptOutcome::Done);
+    suspend(&mut script);
+    let count_stops_on_slow_machine = |script: &mut ScriptedShard| {
+        for _ in 0..20 {
+            script.now += Duration::from_secs(1);
+            script.report_all_ended("vm-1", AttemptOutcome::Done);
+            script.report_all_in_state("vm-2", TaskState::Running);
+            script.advance(Duration::ZERO);
+        }
+        let batches = script.take_batches();
+        let to_slow = batches.iter().filter(|batch| &*batch.machine == "vm-2");
+        to_slow
+            .map(|batch| count_stops(&batch.commands))
+            .sum::<usize>()
+    };
+    assert_eq!(count_stops_on_slow_machine(&mut script), 0);
+    resume(&mut script);
+    assert_eq!(count_stops_on_slow_machine(&mut script), 5);
+}
+
 /// The leader withholds the answers itself, so it must not take the machine for one that it can't
 /// hear, and delete it.
 #[test]
--- a/src/coordination/worker_leases/authority.rs
+++ b/src/coordination/worker_leases/authority.rs
@@ -24,7 +24,7 @@
 impl Node {
     /// The moment up to which this node knows of all cancellations that any controller
     /// confirmed to a user.
-    fn cancellations_known_up_to(&self, state: &NodeState, now: Instant) -> Option<Instant> {
+    pub fn cancellations_known_up_to(&self, state: &NodeState, now: Instant) -> Option<Instant> {
         let others = &self.settings.platform.others;
         let node_ids = others.iter().map(|peer| peer.node_id.as_str());
         state.cancellations.known_up_to(node_ids, now)
--- a/tests/trial/store_outage.rs
+++ b/tests/trial/store_outage.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::support::cluster::{Cluster, ClusterOptions, submission};
+use crate::support::cluster::{Cluster, submission};
 use crate::support::kv::KvStore;
 use crate::support::refusal::Refused;
 use crate::support::worker::{launch_count, register_service};
@@ -14,11 +14,8 @@
 
 async fn start_cluster(node_id_prefix: &str) -> (KvStore, Cluster) {
     let store = KvStore::default();
-    let options = ClusterOptions {
-        worker_lease_s: WORKER_LEASE.as_secs_f64(),
-        ..ClusterOptions::default()
-    };
-    let cluster = Cluster::start_on(store.clone(), node_id_prefix, options).await;
+    let worker_lease_s = WORKER_LEASE.as_secs_f64();
+    let cluster = Cluster::start_on(store.clone(), node_id_prefix, worker_lease_s).await;
     for index in 0..cluster.size() {
         cluster.wait_until_ready(index).await;
     }
@@ -45,6 +42,7 @@
     tokio::time::sleep(WORKER_LEASE * 3).await;
     let page = cluster.status_page(leader).await;
     assert!(page.contains("before its deadline"), "{page}");
+    assert!(page.contains("no task is started"), "{page}");
     assert_eq!(launch_count(JOB), 1);
     store.refusal.set(Refused::Nobody);
     cluster.wait_for_stage(leader, JOB, "cancelled").await;
@@ -57,6 +55,7 @@
 async fn accepted_tasks_start_in_an_outage_in_which_all_controllers_live() {
     const JOB: &str = "run-000022";
     let (store, cluster) = start_cluster("r").await;
+    let leader = cluster.leader().await;
     cluster.submit(0, &submission(JOB, "batch", 300)).await;
     cluster.wait_for_stage(0, JOB, "running").await;
     store.refusal.set(Refused::Everybody);
@@ -64,6 +63,8 @@
     let launched = launch_count(JOB);
     tokio::time::sleep(WORKER_LEASE).await;
     let launched_later = launch_count(JOB) - launched;
+    let page = cluster.status_page(leader).await;
+    assert!(page.contains("tasks may start"), "{page}");
     assert!(launched_later > 0, "{launched} tasks were launched before");
     store.refusal.set(Refused::Nobody);
     cluster.wait_for_stage(0, JOB, "done").await;
--- a/tests/trial/support/cluster.rs
+++ b/tests/trial/support/cluster.rs
@@ -63,20 +63,6 @@
     }
 }
 
-/// Settings in which clusters differ.
-pub(crate) struct ClusterOptions {
-    /// The duration of workers' leases in seconds.
-    pub(crate) worker_lease_s: f64,
-}
-
-impl Default for ClusterOptions {
-    fn default() -> Self {
-        Self {
-            worker_lease_s: WORKER_LEASE_S,
-        }
-    }
-}
-
 pub(crate) struct Cluster {
     controllers: Vec<Controller>,
     client: HttpClient,
@@ -85,15 +71,15 @@
 impl Cluster {
     /// Starts three controllers, whose node ids are this prefix and a number from 0 to 2.
     pub(crate) async fn start(node_id_prefix: &str) -> Self {
-        let options = ClusterOptions::default();
-        Self::start_on(KvStore::default(), node_id_prefix, options).await
+        Self::start_on(KvStore::default(), node_id_prefix, WORKER_LEASE_S).await
     }
 
-    /// Starts three controllers that use the key-value store of the caller.
+    /// Starts three controllers that use the key-value store of the caller, and grant workers'
+    /// leases of `worker_lease_s` seconds.
     pub(crate) async fn start_on(
         store: KvStore,
         node_id_prefix: &str,
-        options: ClusterOptions,
+        worker_lease_s: f64,
     ) -> Self {
         claim_prefix(node_id_prefix);
         let node_ids = [0, 1, 2].map(|n| format!("{node_id_prefix}{n}"));
@@ -114,7 +100,7 @@
         }
         let workers = WorkerSettings {
             controllers: node_ids.iter().cloned().zip(public_addresses).collect(),
-            lease: Duration::from_secs_f64(options.worker_lease_s),
+            lease: Duration::from_secs_f64(worker_lease_s),
         };
         let cloud = support::serve(support::cloud::router(workers)).await;
         let settings = |index: usize| ControllerSettings {
@@ -127,7 +113,7 @@
                 .collect(),
             cloud,
             kv: kv[index],
-            worker_lease_s: options.worker_lease_s,
+            worker_lease_s,
             clock_skew_ms: CLOCK_SKEW_MS,
             ..ControllerSettings::new(&node_ids[index])
         };
--- a/tests/trial/upgrade.rs
+++ b/tests/trial/upgrade.rs
@@ -8,7 +8,7 @@
 use valegap::protocol::kv::{KeyValue, Transaction};
 use valegap::storage::keys;
 
-use crate::support::cluster::{Cluster, ClusterOptions, submission};
+use crate::support::cluster::{Cluster, submission};
 use crate::support::kv::KvStore;
 use crate::support::worker::register_gang;
 
@@ -59,10 +59,7 @@
     let recorded: Recorded = serde_json::from_str(recorded).expect("a recording");
     let store = KvStore::default();
     store.restore(&recorded.keys);
-    let options = ClusterOptions {
-        worker_lease_s: WORKER_LEASE_S,
-    };
-    let mut cluster = Cluster::start_on(store.clone(), node_id_prefix, options).await;
+    let mut cluster = Cluster::start_on(store.clone(), node_id_prefix, WORKER_LEASE_S).await;
     let leader = cluster.leader().await;
 
     // The older leader's last write arrives again, after the new leader has written.
