Tests: the outage of the store and the runs with one fault in files of their own

Change: the leader, peer and worker of the outage tests are in tests/store_outage.rs, the simulated runs with one kind of fault in single_faults.rs; nothing but imports and visibility changed.

--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -23,6 +23,7 @@
 mod scripted_shard;
 mod scripted_workers;
 mod simulation;
+mod single_faults;
 mod slow_boots;
 mod snapshots;
 mod store_limits;
--- a/src/coordination/tests/mod.rs
+++ b/src/coordination/tests/mod.rs
@@ -4,8 +4,8 @@
 mod cancellation_freshness;
 mod eligibility;
 mod peering;
-
 mod scale;
+mod store_outage;
 
 use crate::protocol::FencingToken;
 use std::sync::Arc;
