--- a/src/coordination/shard/jobs/live_tasks.rs
+++ b/src/coordination/shard/jobs/live_tasks.rs
@@ -9,7 +9,7 @@
 use crate::protocol::MachineId;
 
 /// An attempt of a task that may exist on a machine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Placement {
     /// The machine.
     pub machine: MachineId,
@@ -65,6 +65,13 @@
         attempts.map(|placement| &placement.machine)
     }
 
+    /// The attempts that may exist, each with its task's index.
+    #[cfg(test)]
+    pub fn attempts(&self) -> impl Iterator<Item = (u32, &Placement)> {
+        let tasks = self.by_index.iter();
+        tasks.flat_map(|(index, attempts)| attempts.iter().map(|placement| (*index, placement)))
+    }
+
     /// Adds an attempt of a task. Returns whether the task was not live before.
     pub(super) fn add(&mut self, index: u32, placement: Placement) -> bool {
         let Some(attempts) = self.by_index.get_mut(&index) else {
--- a/src/coordination/shard/tests/simulation/rules.rs
+++ b/src/coordination/shard/tests/simulation/rules.rs
@@ -1,13 +1,14 @@
 //! The rules that must hold at any time: the rules of PROTOCOL's section "Rules" that a shard can
 //! break, and the consistency of its own counters.
 
+use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
 use super::Simulation;
 use super::worker::{Worker, WorkerTask};
-use crate::coordination::shard::Job;
 use crate::coordination::shard::tests::fixtures::CANCELLATION_BOUND;
+use crate::coordination::shard::{Job, Placement, Shard};
 use crate::protocol::TaskId;
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::TaskState;
@@ -31,7 +32,8 @@
     CancellationBound,
     /// A job is done only when all its tasks have completed (`not_done`).
     DoneOnlyWhenCompleted,
-    /// The shard's counters equal a full recount.
+    /// The shard's counters equal a full recount, and each job records the attempts that its machines
+    /// do.
     ConsistentCounters,
 }
 
@@ -131,7 +133,10 @@
         };
         let are_loads_consistent = shard.machines().are_loads_consistent();
         let is_miscounted = |job: &&Job| job.waiting() != job.recount_waiting();
-        let miscounted = shard.jobs().values().find(is_miscounted);
+        let has_other_attempts =
+            |job: &&Job| live_attempts(job) != attempts_on_machines(shard, job);
+        let mut jobs = shard.jobs().values();
+        let miscounted = jobs.find(|job| is_miscounted(job) || has_other_attempts(job));
         let job = miscounted.map(|job| job.id.to_string());
         if !are_loads_consistent || job.is_some() {
             let subject = format!("loads consistent: {are_loads_consistent}, job: {job:?}");
@@ -140,6 +145,30 @@
     }
 }
 
+/// The attempts of a job's tasks that may exist, by the job's own record.
+fn live_attempts(job: &Job) -> BTreeSet<(u32, Placement)> {
+    let attempts = job.live().attempts();
+    attempts
+        .map(|(index, placement)| (index, placement.clone()))
+        .collect()
+}
+
+/// The attempts of a job's tasks that have not ended, by the records of the machines.
+fn attempts_on_machines(shard: &Shard, job: &Job) -> BTreeSet<(u32, Placement)> {
+    let mut attempts = BTreeSet::new();
+    for machine in shard.machines().values() {
+        let live = machine.attempts_of(&job.id).filter(|(_, a)| !a.ended());
+        attempts.extend(live.map(|(id, _)| {
+            let placement = Placement {
+                machine: machine.id.clone(),
+                attempt_number: id.number,
+            };
+            (id.task.index, placement)
+        }));
+    }
+    attempts
+}
+
 /// Whether a job allows this task to run on this machine, considering the job's other active tasks.
 fn is_placement_allowed(
     task: &TaskId,
