Status page: ask the run deadline whether tasks may start

Cause: the page compared the age of the knowledge of cancellations with the bound by itself, beside Node::run_deadline. Change: it asks that.

--- a/src/coordination/node/status.rs
+++ b/src/coordination/node/status.rs
@@ -7,7 +7,6 @@
 
 use super::Node;
 use super::state::{Leadership, PeerView};
-use crate::coordination::worker_leases::cancellation_freshness::staleness_bound;
 
 impl Node {
     /// Renders the status page.
@@ -22,7 +21,7 @@
         let now = self.now();
         let leader = self.leader_id().unwrap_or_else(|| "unknown".into());
         let latencies = self.clients.kv.latencies();
-        let state = self.lock();
+        let mut state = self.lock();
         writeln!(
             page,
             "controller {} in {}, up {:?}",
@@ -36,8 +35,10 @@
             "key-value store: {} answers, p50 {:?}, p99 {:?}, longest {:?}",
             latencies.answered_requests, latencies.p50, latencies.p99, latencies.max,
         )?;
+        let may_run_tasks = self.run_deadline(&mut state, now).permit(now).is_some();
         let known = self.cancellations_known_up_to(&state, now);
-        write_freshness(page, known, staleness_bound(&self.settings), now)?;
+        let age = known.map(|known| now.saturating_duration_since(known));
+        write_freshness(page, age, may_run_tasks)?;
         for view in state.peers.views.values() {
             write_peer(page, view, now)?;
         }
@@ -48,25 +49,16 @@
     }
 }
 
-fn write_freshness(
-    page: &mut String,
-    known_up_to: Option<Instant>,
-    bound: Duration,
-    now: Instant,
-) -> fmt::Result {
-    let Some(known) = known_up_to else {
+fn write_freshness(page: &mut String, age: Option<Duration>, may_run_tasks: bool) -> fmt::Result {
+    let Some(age) = age else {
         return writeln!(page, "cancellations: unknown, the jobs were not read yet");
     };
-    let age = now.saturating_duration_since(known);
-    let effect = if age < bound {
+    let effect = if may_run_tasks {
         "tasks may start and workers' leases be renewed"
     } else {
         "no task is started and no worker's lease renewed"
     };
-    writeln!(
-        page,
-        "cancellations: known up to {age:?} ago, bound {bound:?}: {effect}"
-    )
+    writeln!(page, "cancellations: known up to {age:?} ago, {effect}")
 }
 
 fn write_peer(page: &mut String, view: &PeerView, now: Instant) -> fmt::Result {
