Log what allowed each renewal, batch and cancellation; counts on the status page

Each renewal of a worker's lease now logs these at debug, each batch the time that it waited for its permit, each catch-up read the revision. A written cancellation and a new leader's recovery are logged at info with the revision. The status page counts the answers by authority, and the batches with the longest wait.

--- a/src/coordination/executor/commands.rs
+++ b/src/coordination/executor/commands.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
-use tracing::warn;
+use tracing::{debug, warn};
 
 use crate::coordination::leadership::lease::ShardLease;
 use crate::coordination::node::Node;
@@ -42,7 +42,18 @@
     } else {
         (COMMAND_DEADLINE, &node.admission.commands)
     };
+    let queued_at = node.now();
     let _permit = permits.acquire().await;
+    let waited = node.now().saturating_duration_since(queued_at);
+    node.lock().counters.batches.record_sent(waited);
+    debug!(
+        %addr,
+        fencing_token = %lease.fencing_token,
+        agent_epoch,
+        commands = commands.len(),
+        waited_s = waited.as_secs_f64(),
+        "batch of commands may be sent"
+    );
     // Both may have expired while the batch waited.
     if !lease.is_live(node.now()) || !may_execute(node, commands) {
         return CommandOutcome::NotSent;
--- a/src/coordination/leadership/leader_loop.rs
+++ b/src/coordination/leadership/leader_loop.rs
@@ -47,6 +47,7 @@
     let Some(recovery) = recover_until_ended(node, &lease).await else {
         return;
     };
+    log_recovery(node, &lease, &recovery);
     begin_leadership(node, &lease, recovery.state);
     // The job index may know of jobs that ended since the records were read.
     node.notify_finished_jobs();
@@ -121,6 +122,18 @@
     })
 }
 
+/// Logs up to when the new leader knows the jobs and their cancellations.
+fn log_recovery(node: &Node, lease: &ShardLease, recovery: &Recovery) {
+    let now = node.now();
+    let known = node.cancellations_known_up_to(&node.lock(), now);
+    info!(
+        fencing_token = %lease.fencing_token,
+        revision = recovery.jobs_revision,
+        staleness_s = known.map(|known| now.saturating_duration_since(known).as_secs_f64()),
+        "unfinished jobs recovered"
+    );
+}
+
 fn begin_leadership(node: &Node, lease: &Arc<ShardLease>, recovered: RecoveredState) {
     let shard = Shard::recover(
         node.policy.clone(),
--- a/src/coordination/node/mod.rs
+++ b/src/coordination/node/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod clients;
+pub mod counters;
 mod reachability;
 pub mod state;
 mod status;
--- a/src/coordination/node/state.rs
+++ b/src/coordination/node/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::counters::Counters;
 use crate::coordination::leadership::lease::ShardLease;
 use crate::coordination::shard::{Shard, TaskCounts};
 use crate::coordination::worker_leases::advance_delegation::{AdvanceDelegation, AdvanceGrants};
@@ -41,6 +42,8 @@
     pub cancellations: CancellationFreshness,
     /// Whether this controller renews no worker's lease, as it may not know of all cancellations.
     pub renewals_suspended: bool,
+    /// Counts for the status page.
+    pub counters: Counters,
 }
 
 /// A shard that this controller leads.
--- a/src/coordination/node/status.rs
+++ b/src/coordination/node/status.rs
@@ -39,6 +39,8 @@
         let known = self.cancellations_known_up_to(&state, now);
         let age = known.map(|known| now.saturating_duration_since(known));
         write_freshness(page, age, may_run_tasks)?;
+        writeln!(page, "heartbeats: {}", state.counters.heartbeat_answers)?;
+        writeln!(page, "batches of commands: {}", state.counters.batches)?;
         for view in state.peers.views.values() {
             write_peer(page, view, now)?;
         }
--- a/src/coordination/requests/cancellation.rs
+++ b/src/coordination/requests/cancellation.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tracing::info;
+
 use super::kv_access::{read, read_final, write_within_rate_share};
 use super::response::UserResponse;
 use crate::coordination::node::Node;
@@ -53,6 +55,7 @@
             .map_err(|source| KvError::unencodable("a final record", source))?;
     match write_within_rate_share(node, &transaction).await? {
         TransactionOutcome::Committed { revision } => {
+            info!(job = id, revision, "cancellation written");
             node.job_index.record_final(id, &final_record, revision);
             node.notify_finished_jobs();
             Ok(Some(UserResponse::after_cancellation(
--- a/src/coordination/shard_events.rs
+++ b/src/coordination/shard_events.rs
@@ -67,6 +67,11 @@
             .await?;
         self.notify_finished_jobs();
         self.lock().cancellations.record_catch_up(sent_at);
+        tracing::debug!(
+            revision = self.job_index.revision(),
+            took_s = self.now().saturating_duration_since(sent_at).as_secs_f64(),
+            "jobs read up to a revision"
+        );
         Ok(())
     }
 
--- a/src/coordination/tests/peering.rs
+++ b/src/coordination/tests/peering.rs
@@ -20,6 +20,13 @@
 use crate::coordination::worker_leases::advance_delegation::{self, AdvanceGrants};
 use crate::protocol::peer_messages::{RevivalVote, ReviveLease};
 use crate::protocol::peers::PeerHeartbeat;
+use crate::protocol::workers::WorkerHeartbeat;
+
+/// The fencing token under which a controller may renew this worker's lease for a leader.
+fn delegated_token(node: &Node, heartbeat: &WorkerHeartbeat) -> Option<FencingToken> {
+    let renewal = node.delegated_renewal(heartbeat)?;
+    Some(renewal.fencing_token)
+}
 
 /// Makes a controller the leader of an empty shard.
 pub(super) fn make_leader(node: &Node, fencing_token: u64) -> Arc<ShardLease> {
@@ -140,19 +147,19 @@
     handle_heartbeat_answer(&node, peer_heartbeat("beta", Some(7)), node.now(), None);
     clock.advance(advance_delegation::LEADER_UNREACHABLE_AFTER);
     assert_eq!(
-        node.delegated_fencing_token(&heartbeat),
+        delegated_token(&node, &heartbeat),
         None,
         "the key-value store may answer"
     );
     let _ = node.clients.kv.get("o/0/owner", KV_DEADLINE).await;
-    assert_eq!(node.delegated_fencing_token(&heartbeat), leader_token);
+    assert_eq!(delegated_token(&node, &heartbeat), leader_token);
     assert_eq!(
         own_heartbeat(&node).answered_by_advance_delegation_ago_ms,
         0
     );
     heartbeat.fencing_token = FencingToken::new(8);
     assert_eq!(
-        node.delegated_fencing_token(&heartbeat),
+        delegated_token(&node, &heartbeat),
         None,
         "the worker follows a later leader"
     );
@@ -163,9 +170,9 @@
     // A late heartbeat without a fencing token, from before the peer became leader, changes
     // nothing.
     record_heartbeat(&node, peer_heartbeat("beta", None));
-    assert_eq!(node.delegated_fencing_token(&heartbeat), None);
+    assert_eq!(delegated_token(&node, &heartbeat), None);
     clock.advance(advance_delegation::LEADER_UNREACHABLE_AFTER);
-    assert_eq!(node.delegated_fencing_token(&heartbeat), leader_token);
+    assert_eq!(delegated_token(&node, &heartbeat), leader_token);
     let workers = &node.settings.platform.settings.workers;
     clock.advance(
         workers.max_cancellation_time()
@@ -173,7 +180,7 @@
             - advance_delegation::LEADER_UNREACHABLE_AFTER * 2,
     );
     assert_eq!(
-        node.delegated_fencing_token(&heartbeat),
+        delegated_token(&node, &heartbeat),
         None,
         "a job may have been cancelled"
     );
@@ -269,12 +276,12 @@
     let heartbeat = heartbeat(9);
     assert!(node.live_lease().is_none());
     assert_eq!(
-        node.delegated_fencing_token(&heartbeat),
+        delegated_token(&node, &heartbeat),
         Some(FencingToken::new(9))
     );
     lease.end();
     assert_eq!(
-        node.delegated_fencing_token(&heartbeat),
+        delegated_token(&node, &heartbeat),
         None,
         "the leader knows that its lease has ended"
     );
--- a/src/coordination/worker_heartbeats.rs
+++ b/src/coordination/worker_heartbeats.rs
@@ -10,6 +10,7 @@
 use super::node::Node;
 use super::shard::{HeartbeatOutcome, delegate_commands};
 use super::worker_leases::run_permit::RunPermit;
+use super::worker_leases::{DelegatedRenewal, RenewalAuthority};
 use crate::protocol::FencingToken;
 use crate::protocol::workers::{Command, HeartbeatResponse, Redirect, WorkerHeartbeat};
 
@@ -33,7 +34,7 @@
         .insert(heartbeat.machine.clone(), now);
     answer_as_leader(node, heartbeat)
         .or_else(|| answer_on_behalf_of_leader(node, heartbeat))
-        .unwrap_or_else(|| redirect(node))
+        .unwrap_or_else(|| redirect(node, other_leader(node)))
 }
 
 /// Answers as the shard decides. Returns `None` if this controller doesn't hold a live lease on the
@@ -48,20 +49,58 @@
         return None;
     }
     Some(match outcome {
-        HeartbeatOutcome::Refuse => HeartbeatDecision::Refused,
-        HeartbeatOutcome::Withhold => HeartbeatDecision::Redirected(Redirect { leader: None }),
+        HeartbeatOutcome::Refuse => refuse(node),
+        HeartbeatOutcome::Withhold => redirect(node, None),
         HeartbeatOutcome::Answer { commands, permit } => {
-            renew(&permit, lease.fencing_token, commands)
+            let response = HeartbeatResponse {
+                fencing_token: lease.fencing_token,
+                commands,
+            };
+            renew(node, &permit, RenewalAuthority::Leader, heartbeat, response)
         }
     })
 }
 
 /// The answer that renews the worker's lease.
-fn renew(_: &RunPermit, fencing_token: FencingToken, commands: Vec<Command>) -> HeartbeatDecision {
-    HeartbeatDecision::Renewed(HeartbeatResponse {
-        fencing_token,
-        commands,
-    })
+fn renew(
+    node: &Node,
+    _: &RunPermit,
+    authority: RenewalAuthority,
+    heartbeat: &WorkerHeartbeat,
+    response: HeartbeatResponse,
+) -> HeartbeatDecision {
+    let count = |is_counted: fn(&&Command) -> bool| {
+        let commands = response.commands.iter();
+        commands.filter(is_counted).count()
+    };
+    let stops = count(|command| matches!(command, Command::Stop { .. }));
+    let launches = count(|command| matches!(command, Command::Launch { .. }));
+    let now = node.now();
+    let mut state = node.lock();
+    state
+        .counters
+        .heartbeat_answers
+        .record_renewal(authority, stops);
+    let known = node.cancellations_known_up_to(&state, now);
+    tracing::debug!(
+        machine = heartbeat.machine,
+        agent_epoch = heartbeat.agent_epoch,
+        sequence = heartbeat.sequence,
+        seen = %heartbeat.fencing_token,
+        fencing_token = %response.fencing_token,
+        %authority,
+        staleness_s = known.map(|known| now.saturating_duration_since(known).as_secs_f64()),
+        tasks = heartbeat.tasks.len(),
+        stops,
+        launches,
+        "worker's lease renewed"
+    );
+    HeartbeatDecision::Renewed(response)
+}
+
+fn refuse(node: &Node) -> HeartbeatDecision {
+    node.lock().counters.heartbeat_answers.record_refusal();
+    HeartbeatDecision::Refused
 }
 
 /// Renews the worker's lease on behalf of a leader that can't. Returns `None` if this controller
@@ -71,10 +110,16 @@
     heartbeat: &WorkerHeartbeat,
 ) -> Option<HeartbeatDecision> {
     let permit = node.run_permit()?;
-    let fencing_token = node.delegated_fencing_token(heartbeat)?;
+    let DelegatedRenewal {
+        authority,
+        fencing_token,
+    } = node.delegated_renewal(heartbeat)?;
     apply_to_own_shard(node, fencing_token, heartbeat);
-    let commands = delegate_commands(heartbeat, |job| node.job_index.is_open(job));
-    Some(renew(&permit, fencing_token, commands))
+    let response = HeartbeatResponse {
+        fencing_token,
+        commands: delegate_commands(heartbeat, |job| node.job_index.is_open(job)),
+    };
+    Some(renew(node, &permit, authority, heartbeat, response))
 }
 
 /// Applies the heartbeat to this controller's own shard if the shard's lease has this fencing
@@ -88,8 +133,13 @@
     }
 }
 
-/// Redirects the worker. The redirect names the leader if another controller is known to lead.
-fn redirect(node: &Node) -> HeartbeatDecision {
-    let leader = node.leader_id().filter(|node_id| node_id != node.node_id());
+/// The node id of the leader, if another controller is known to lead.
+fn other_leader(node: &Node) -> Option<String> {
+    node.leader_id().filter(|node_id| node_id != node.node_id())
+}
+
+/// Redirects the worker to this leader, if it is known.
+fn redirect(node: &Node, leader: Option<String>) -> HeartbeatDecision {
+    node.lock().counters.heartbeat_answers.record_redirect();
     HeartbeatDecision::Redirected(Redirect { leader })
 }
--- a/src/coordination/worker_leases/authority.rs
+++ b/src/coordination/worker_leases/authority.rs
@@ -13,6 +13,7 @@
 
 use tracing::{info, warn};
 
+use super::RenewalAuthority;
 use super::advance_delegation::{self, AdvanceDelegation};
 use super::cancellation_freshness;
 use super::run_permit::{RunDeadline, RunPermit};
@@ -21,6 +22,15 @@
 use crate::protocol::FencingToken;
 use crate::protocol::workers::WorkerHeartbeat;
 
+/// The right to renew a worker's lease on behalf of a leader.
+#[derive(Debug, Clone, Copy)]
+pub struct DelegatedRenewal {
+    /// Where the right comes from.
+    pub authority: RenewalAuthority,
+    /// The leader's fencing token.
+    pub fencing_token: FencingToken,
+}
+
 impl Node {
     /// The moment up to which this node knows of all cancellations that any controller
     /// confirmed to a user.
@@ -54,12 +64,22 @@
         deadline
     }
 
-    /// The fencing token under which this node, when it doesn't act as the leader, may renew a
-    /// worker's lease. `None` if there is no such token, or the worker doesn't accept it.
-    pub fn delegated_fencing_token(&self, heartbeat: &WorkerHeartbeat) -> Option<FencingToken> {
-        self.fencing_token_while_recovering(heartbeat)
-            .or_else(|| self.fencing_token_by_delegation(heartbeat))
-            .or_else(|| self.fencing_token_by_advance_delegation(heartbeat))
+    /// By which right this node, when it doesn't act as the leader, may renew a worker's lease.
+    /// `None` if it has none, or the worker doesn't accept its fencing token.
+    pub fn delegated_renewal(&self, heartbeat: &WorkerHeartbeat) -> Option<DelegatedRenewal> {
+        let recovery = || self.fencing_token_while_recovering(heartbeat);
+        let delegation = || self.fencing_token_by_delegation(heartbeat);
+        let advance = || self.fencing_token_by_advance_delegation(heartbeat);
+        let renewal = |authority| {
+            move |fencing_token| DelegatedRenewal {
+                authority,
+                fencing_token,
+            }
+        };
+        recovery()
+            .map(renewal(RenewalAuthority::Recovery))
+            .or_else(|| delegation().map(renewal(RenewalAuthority::Delegation)))
+            .or_else(|| advance().map(renewal(RenewalAuthority::AdvanceDelegation)))
     }
 
     /// The token of a shard that this node has acquired and cannot recover yet: the store failed
--- a/src/coordination/worker_leases/mod.rs
+++ b/src/coordination/worker_leases/mod.rs
@@ -13,8 +13,35 @@
 pub mod cancellation_freshness;
 pub mod run_permit;
 
+pub use authority::DelegatedRenewal;
+
+use std::fmt;
 use std::time::Duration;
 
 /// How long a delegate may renew workers' leases after it sent the read of its delegation to the
 /// store.
 pub const DELEGATION_TIME: Duration = Duration::from_secs(2);
+
+/// By which right a controller renews workers' leases.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewalAuthority {
+    /// It leads the shard, and its lease is live.
+    Leader,
+    /// It has acquired the shard and cannot recover it yet.
+    Recovery,
+    /// The leader's delegation in the store.
+    Delegation,
+    /// An advance delegation, or the node's own last lease renewal as the leader.
+    AdvanceDelegation,
+}
+
+impl fmt::Display for RenewalAuthority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Leader => "leader",
+            Self::Recovery => "recovery",
+            Self::Delegation => "delegation",
+            Self::AdvanceDelegation => "advance delegation",
+        })
+    }
+}
