Renew no worker's lease without the stops of cancelled tasks

Users at about 4,000 machines saw a task of a cancelled job run on beyond cancel_s. No log of that run is left, so that this is a cause that fits, not the proven one.

Cause: the right to renew a lease (RunPermit) asked whether the controller knows the recent cancellations, not whether the answer applies them. Leaders in series each give one such renewal; with all sockets in use few heartbeats get through between two leaders. A recovering leader or delegate that had confirmed a cancellation itself took the job for open again when a catch-up read that was sent before the cancellation was applied after it.

Fix: an answer that renews a lease is a LeaseRenewal. Its only constructor takes the permit and the heartbeat and adds a stop for each listed live task whose job is not open, for the leader, a recovering leader and delegates alike. A stop names one attempt, whose number is never reused, so that it needs neither the acknowledged token nor the newest heartbeat. The job index calls no job open whose final state it knows. Where the leader has reconciled the list and still lacked the stop, that is logged as an error and counted.

Ruled out by tests that pass before and after: a cancellation between the read of the jobs and the installation of the shard, and a list of cancellations after a reload.

--- a/src/api/worker.rs
+++ b/src/api/worker.rs
@@ -29,7 +29,9 @@
         return to_http_response(UserResponse::malformed("not a report", None));
     };
     match worker_heartbeats::handle_heartbeat(node, &heartbeat) {
-        HeartbeatDecision::Renewed(answer) => json_response(StatusCode::OK, &answer),
+        HeartbeatDecision::Renewed(renewal) => {
+            json_response(StatusCode::OK, &renewal.into_response())
+        }
         HeartbeatDecision::Refused => {
             to_http_response(UserResponse::unavailable("this machine is gone"))
         }
--- a/src/coordination/shard/delegations/mod.rs
+++ b/src/coordination/shard/delegations/mod.rs
@@ -21,25 +21,5 @@
 
 pub(in crate::coordination::shard) use table::{AdvanceRenewals, Delegations};
 
-use std::time::Duration;
-
-use super::dispatch::stop_command;
-use crate::protocol::workers::{Command, TaskState, WorkerHeartbeat};
-
-/// The commands with which a delegate answers a worker's heartbeat. A delegate starts no tasks,
-/// but stops the tasks of jobs that are not open: a cancelled job has to end within its deadline
-/// also on workers whose leases a delegate renews.
-pub fn delegate_commands(
-    heartbeat: &WorkerHeartbeat,
-    is_open: impl Fn(&str) -> bool,
-) -> Vec<Command> {
-    heartbeat
-        .tasks
-        .iter()
-        .filter(|status| status.state != TaskState::Ended && !is_open(&status.task.job))
-        .map(|status| stop_command(&status.task, status.attempt, Duration::ZERO))
-        .collect()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/coordination/shard/dispatch/batch.rs
+++ b/src/coordination/shard/dispatch/batch.rs
@@ -106,11 +106,7 @@
 }
 
 /// The command that stops an attempt and gives it `grace` to save its progress.
-pub(in crate::coordination::shard) fn stop_command(
-    task: &TaskId,
-    attempt_number: u64,
-    grace: Duration,
-) -> Command {
+pub(super) fn stop_command(task: &TaskId, attempt_number: u64, grace: Duration) -> Command {
     Command::Stop {
         task: task.clone(),
         attempt: attempt_number,
--- a/src/coordination/shard/dispatch/mod.rs
+++ b/src/coordination/shard/dispatch/mod.rs
@@ -13,7 +13,6 @@
 mod probes;
 mod repeated;
 
-pub(super) use batch::stop_command;
 pub(super) use probes::FIRST_AGENT_EPOCH;
 pub(super) use repeated::commands_to_repeat;
 
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -21,6 +21,7 @@
 mod delegations;
 mod dispatch;
 mod health;
+mod invariants;
 mod jobs;
 mod machines;
 mod persistence;
@@ -31,8 +32,8 @@
 
 pub use action::{Action, CommandOutcome};
 pub use autoscaler::RentalOutcome;
-pub use delegations::delegate_commands;
 pub use health::{FailureHistory, MachineHealth};
+pub use invariants::InvariantViolation;
 pub use jobs::{Job, LiveTasks, Placement, TaskCounts, UnfinishedJob};
 pub use machines::{Attempt, Machine, MachineLoad, Machines, Phase};
 pub use persistence::{ShardWrite, WritePurpose};
@@ -101,6 +102,8 @@
     needs_pass: bool,
     /// How many tasks of each job heartbeats list as running, recounted at intervals.
     running_tasks: RunningTasks,
+    /// How many violations of [`invariants`] were reported.
+    violation_count: u64,
     /// The actions decided since the last [`Shard::take_actions`], in the order of the decisions.
     /// The number of machines and the scheduler's limits bound how many one pass adds.
     pending_actions: Vec<Action>,
--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -21,10 +21,10 @@
 
 use super::dispatch::commands_to_repeat;
 use super::machines::{EpochChange, HeartbeatNumber};
-use super::{Action, Machine, Shard};
-use crate::coordination::worker_leases::run_permit::RunPermit;
+use super::{Action, InvariantViolation, Machine, Shard};
+use crate::coordination::worker_leases::lease_renewal::LeaseRenewal;
 use crate::protocol::MachineId;
-use crate::protocol::workers::{Command, WorkerHeartbeat};
+use crate::protocol::workers::{TaskStatus, WorkerHeartbeat};
 
 /// Minimum time between two probes that outdated heartbeats of one machine cause.
 const OUTDATED_HEARTBEAT_PROBE_PAUSE: Duration = Duration::from_secs(2);
@@ -32,13 +32,8 @@
 /// The answer to a heartbeat.
 #[derive(Debug, PartialEq)]
 pub enum HeartbeatOutcome {
-    /// Status 200 with these commands: the worker renews its lease.
-    Answer {
-        /// The commands for the worker.
-        commands: Vec<Command>,
-        /// The permit to renew the lease.
-        permit: RunPermit,
-    },
+    /// Status 200: the worker renews its lease and executes the commands.
+    Renew(LeaseRenewal),
     /// The lease is not renewed, since this leader may not know of all cancellations.
     Withhold,
     /// The lease is not renewed: the machine is deleted, or another controller has a higher
@@ -72,12 +67,29 @@
         if !is_duplicate {
             machine.lease.extend_to(lease_expires_at);
         }
-        let commands = if machine.token_acknowledged && machine.epochs.is_newest(number) {
+        let is_reconciled = machine.token_acknowledged && machine.epochs.is_newest(number);
+        let commands = if is_reconciled {
             commands_to_repeat(machine, &permit)
         } else {
             Vec::new()
         };
-        HeartbeatOutcome::Answer { commands, permit }
+        let is_open = |status: &TaskStatus| self.is_open_task(&status.task);
+        let renewal = LeaseRenewal::new(&permit, self.fencing_token, heartbeat, commands, is_open);
+        if is_reconciled {
+            self.check_stops(&heartbeat.machine, &renewal);
+        }
+        HeartbeatOutcome::Renew(renewal)
+    }
+
+    /// Reports the stops that a renewal had to add although this leader has reconciled the listed
+    /// tasks: it should have requested them.
+    fn check_stops(&mut self, machine: &str, renewal: &LeaseRenewal) {
+        for attempt in renewal.missing_stops() {
+            self.report_violation(&InvariantViolation::MissingStop {
+                machine: machine.into(),
+                attempt: attempt.clone(),
+            });
+        }
     }
 
     /// Applies a heartbeat, periodic or in answer to commands.
--- a/src/coordination/shard/reconciler/recovery.rs
+++ b/src/coordination/shard/reconciler/recovery.rs
@@ -91,6 +91,7 @@
             run_deadline: RunDeadline::default(),
             needs_pass: true,
             running_tasks: RunningTasks::default(),
+            violation_count: 0,
             pending_actions: Vec::new(),
         }
     }
--- a/src/coordination/shard/summary.rs
+++ b/src/coordination/shard/summary.rs
@@ -52,7 +52,12 @@
     /// The summary, the queued writes, and the state of each team and machine, as text for the
     /// operators' status page.
     pub fn describe(&self, now: Instant) -> String {
-        let mut text = format!("{}\n{}\n", self.summary(), self.writes.describe(now));
+        let mut text = format!(
+            "{}\n{}\ninvariant violations: {}\n",
+            self.summary(),
+            self.writes.describe(now),
+            self.violation_count,
+        );
         let mut tasks_by_team: BTreeMap<&str, (u32, usize)> = BTreeMap::new();
         for job in self.jobs.values() {
             let counts = tasks_by_team.entry(&job.spec.team).or_default();
--- a/src/coordination/shard/tests/delegations.rs
+++ b/src/coordination/shard/tests/delegations.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use super::fixtures::{
-    ADVANCE_DELEGATION, ended_task, record, recovered_job, roster_machine, running_task, spec,
+    ADVANCE_DELEGATION, distant_run_deadline, ended_task, record, recovered_job, roster_machine,
+    running_task, spec,
 };
 use super::scripted_shard::{ScriptedShard, TOKEN};
-use crate::coordination::shard::{RecoveredState, UnfinishedJob, delegate_commands};
-use crate::protocol::TaskId;
-use crate::protocol::workers::{AttemptOutcome, Command};
+use crate::coordination::shard::{RecoveredState, UnfinishedJob};
+use crate::coordination::worker_leases::lease_renewal::LeaseRenewal;
+use crate::protocol::workers::{AttemptOutcome, Command, TaskStatus};
+use crate::protocol::{FencingToken, TaskId};
 
 /// Found in a full-size run: a network partition between zones ended half of all service replicas.
 #[test]
@@ -109,13 +111,17 @@
             ended_task("run-2/1", 3, AttemptOutcome::Done),
         ],
     );
-    let commands = delegate_commands(&heartbeat, |job| job == "run-1");
+    let permit = distant_run_deadline(script.now).permit(script.now);
+    let permit = permit.expect("before the deadline");
+    let is_open = |status: &TaskStatus| &*status.task.job == "run-1";
+    let token = FencingToken::new(TOKEN);
+    let renewal = LeaseRenewal::new(&permit, token, &heartbeat, Vec::new(), is_open);
     let stop = Command::Stop {
         task: TaskId::parse("run-2/0").expect("task id"),
         attempt: 2,
         grace_s: 0.0,
     };
-    assert_eq!(commands, vec![stop]);
+    assert_eq!(renewal.commands(), [stop]);
 }
 
 /// A zone is partitioned from all others and the leader crashes: a controller inside the zone may
--- a/src/coordination/shard/tests/mod.rs
+++ b/src/coordination/shard/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent_epochs;
 mod autoscaling;
+mod cancelled_tasks;
 mod combined_faults;
 mod deadlines;
 mod delegations;
--- a/src/coordination/shard/tests/scripted_shard.rs
+++ b/src/coordination/shard/tests/scripted_shard.rs
@@ -189,7 +189,7 @@
         let outcome = self.shard.heartbeat(&heartbeat, self.now);
         self.reconcile();
         match outcome {
-            HeartbeatOutcome::Answer { commands, .. } => commands,
+            HeartbeatOutcome::Renew(renewal) => renewal.commands().to_vec(),
             outcome => panic!("heartbeat not answered: {outcome:?}"),
         }
     }
--- a/src/coordination/shard/tests/simulation/leader.rs
+++ b/src/coordination/shard/tests/simulation/leader.rs
@@ -163,8 +163,8 @@
         let now = self.now;
         let mut answer = None;
         self.apply_to_leader(|shard| {
-            if let HeartbeatOutcome::Answer { commands, .. } = shard.heartbeat(heartbeat, now) {
-                answer = Some((shard.fencing_token, commands));
+            if let HeartbeatOutcome::Renew(renewal) = shard.heartbeat(heartbeat, now) {
+                answer = Some((shard.fencing_token, renewal.commands().to_vec()));
             }
         });
         if let Some((fencing_token, commands)) = answer {
--- a/src/coordination/shard/tests/snapshots.rs
+++ b/src/coordination/shard/tests/snapshots.rs
@@ -62,7 +62,7 @@
     let snapshot = next_write(&mut script);
     let heartbeat = script.heartbeat_of("vm-1", TOKEN, vec![done.clone(), running(1)]);
     match script.shard.heartbeat(&heartbeat, script.now) {
-        HeartbeatOutcome::Answer { commands, .. } => assert!(!has_clear(&commands)),
+        HeartbeatOutcome::Renew(renewal) => assert!(!has_clear(renewal.commands())),
         outcome => panic!("no answer: {outcome:?}"),
     }
     script.shard.write_applied(&snapshot, script.now);
--- a/src/coordination/shard/tests/zones.rs
+++ b/src/coordination/shard/tests/zones.rs
@@ -133,6 +133,6 @@
     script.sequence += 1;
     heartbeat.sequence = script.sequence;
     let outcome = script.shard.heartbeat(&heartbeat, script.now);
-    assert!(matches!(outcome, HeartbeatOutcome::Answer { .. }));
+    assert!(matches!(outcome, HeartbeatOutcome::Renew(_)));
     script.reconcile();
 }
--- a/src/coordination/tests/cancellation_freshness.rs
+++ b/src/coordination/tests/cancellation_freshness.rs
@@ -153,6 +153,18 @@
     }
 }
 
+/// A cancellation that reached the job index before the shard was installed is applied to it.
+#[tokio::test]
+async fn a_cancellation_known_before_the_shard_is_recovered_is_applied_to_it() {
+    let mut outage = StoreOutage::new().await;
+    let leadership = outage.leader.lock().leadership.take();
+    outage.cancel_through_peer();
+    outage.record_confirmations_of(&outage.peer.clone());
+    outage.leader.lock().leadership = leadership;
+    outage.leader.notify_finished_jobs();
+    assert!(has_stop(outage.heartbeat()));
+}
+
 /// The controller that cancelled the job has crashed. Its next incarnation does not know of the
 /// cancellation, so the confirmations of that incarnation must not count.
 #[tokio::test]
--- a/src/coordination/tests/store_outage.rs
+++ b/src/coordination/tests/store_outage.rs
@@ -157,7 +157,7 @@
         heartbeat.sequence = self.sequence;
         heartbeat.tasks = tasks;
         match handle_heartbeat(&self.leader, &heartbeat) {
-            HeartbeatDecision::Renewed(answer) => Some(answer.commands),
+            HeartbeatDecision::Renewed(renewal) => Some(renewal.commands().to_vec()),
             _ => None,
         }
     }
--- a/src/coordination/worker_heartbeats.rs
+++ b/src/coordination/worker_heartbeats.rs
@@ -8,17 +8,17 @@
 use std::sync::Arc;
 
 use super::node::Node;
-use super::shard::{HeartbeatOutcome, delegate_commands};
-use super::worker_leases::run_permit::RunPermit;
+use super::shard::HeartbeatOutcome;
+use super::worker_leases::lease_renewal::LeaseRenewal;
 use super::worker_leases::{DelegatedRenewal, RenewalAuthority};
 use crate::protocol::FencingToken;
-use crate::protocol::workers::{Command, HeartbeatResponse, Redirect, WorkerHeartbeat};
+use crate::protocol::workers::{Command, Redirect, TaskStatus, WorkerHeartbeat};
 
 /// How a heartbeat is answered, with the HTTP status of each answer.
 #[derive(Debug, Clone, PartialEq)]
 pub enum HeartbeatDecision {
     /// 200: the worker's lease is renewed, and the worker executes the commands in the response.
-    Renewed(HeartbeatResponse),
+    Renewed(LeaseRenewal),
     /// 503: the machine is known to be deleted, or the worker has seen a higher fencing token.
     Refused,
     /// 421: this controller may not renew the worker's lease. The redirect names the leader, if
@@ -51,26 +51,21 @@
     Some(match outcome {
         HeartbeatOutcome::Refuse => refuse(node),
         HeartbeatOutcome::Withhold => redirect(node, None),
-        HeartbeatOutcome::Answer { commands, permit } => {
-            let response = HeartbeatResponse {
-                fencing_token: lease.fencing_token,
-                commands,
-            };
-            renew(node, &permit, RenewalAuthority::Leader, heartbeat, response)
+        HeartbeatOutcome::Renew(renewal) => {
+            renew(node, RenewalAuthority::Leader, heartbeat, renewal)
         }
     })
 }
 
-/// The answer that renews the worker's lease.
+/// Counts and logs the answer that renews the worker's lease.
 fn renew(
     node: &Node,
-    _: &RunPermit,
     authority: RenewalAuthority,
     heartbeat: &WorkerHeartbeat,
-    response: HeartbeatResponse,
+    renewal: LeaseRenewal,
 ) -> HeartbeatDecision {
     let count = |is_counted: fn(&&Command) -> bool| {
-        let commands = response.commands.iter();
+        let commands = renewal.commands().iter();
         commands.filter(is_counted).count()
     };
     let stops = count(|command| matches!(command, Command::Stop { .. }));
@@ -87,7 +82,7 @@
         agent_epoch = heartbeat.agent_epoch,
         sequence = heartbeat.sequence,
         seen = %heartbeat.fencing_token,
-        fencing_token = %response.fencing_token,
+        fencing_token = %renewal.fencing_token(),
         %authority,
         staleness_s = known.map(|known| now.saturating_duration_since(known).as_secs_f64()),
         tasks = heartbeat.tasks.len(),
@@ -95,7 +90,7 @@
         launches,
         "worker's lease renewed"
     );
-    HeartbeatDecision::Renewed(response)
+    HeartbeatDecision::Renewed(renewal)
 }
 
 fn refuse(node: &Node) -> HeartbeatDecision {
@@ -115,11 +110,10 @@
         fencing_token,
     } = node.delegated_renewal(heartbeat)?;
     apply_to_own_shard(node, fencing_token, heartbeat);
-    let response = HeartbeatResponse {
-        fencing_token,
-        commands: delegate_commands(heartbeat, |job| node.job_index.is_open(job)),
-    };
-    Some(renew(node, &permit, authority, heartbeat, response))
+    // The controller starts no tasks on the leader's behalf and stops only those of finished jobs.
+    let is_open = |status: &TaskStatus| node.job_index.is_open(&status.task.job);
+    let renewal = LeaseRenewal::new(&permit, fencing_token, heartbeat, Vec::new(), is_open);
+    Some(renew(node, authority, heartbeat, renewal))
 }
 
 /// Applies the heartbeat to this controller's own shard if the shard's lease has this fencing
--- /dev/null
+++ b/src/coordination/worker_leases/lease_renewal.rs
@@ -0,0 +1,93 @@
+//! The answer that renews a worker's lease.
+//!
+//! An answer lets every task that the heartbeat lists run for another lease. So a controller must not
+//! only know the recent cancellations ([`super::run_permit`]): the answer has to stop each listed
+//! task whose job, as far as the controller knows, is not open. [`LeaseRenewal::new`] is the only
+//! way to renew a lease and adds these stops, whatever the caller knows about the attempts, and
+//! whether or not the worker has seen the controller's fencing token: a stop names one attempt, whose
+//! number is never used again.
+
+use std::time::Duration;
+
+use super::run_permit::RunPermit;
+use crate::protocol::workers::{
+    Command, HeartbeatResponse, TaskState, TaskStatus, WorkerHeartbeat,
+};
+use crate::protocol::{AttemptId, FencingToken};
+
+/// The commands of an answer that renews a worker's lease, with a stop for each task that must not
+/// run on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LeaseRenewal {
+    fencing_token: FencingToken,
+    commands: Vec<Command>,
+    missing_stops: Vec<AttemptId>,
+}
+
+impl LeaseRenewal {
+    /// The answer to `heartbeat` under a fencing token, with these commands, and with the stops that they lack: of each
+    /// listed task of which `is_open` says that its job is not open.
+    pub fn new(
+        _: &RunPermit,
+        fencing_token: FencingToken,
+        heartbeat: &WorkerHeartbeat,
+        mut commands: Vec<Command>,
+        is_open: impl Fn(&TaskStatus) -> bool,
+    ) -> Self {
+        let missing_stops: Vec<AttemptId> = heartbeat
+            .tasks
+            .iter()
+            .filter(|status| status.state != TaskState::Ended && !is_open(status))
+            .map(TaskStatus::attempt_id)
+            .filter(|attempt_id| !stops_at_once(&commands, attempt_id))
+            .collect();
+        commands.extend(missing_stops.iter().map(stop_at_once));
+        Self {
+            fencing_token,
+            commands,
+            missing_stops,
+        }
+    }
+
+    /// The commands for the worker.
+    pub fn commands(&self) -> &[Command] {
+        &self.commands
+    }
+
+    /// The attempts whose stops the caller's commands lacked.
+    pub fn missing_stops(&self) -> &[AttemptId] {
+        &self.missing_stops
+    }
+
+    /// The fencing token under which the worker executes the commands.
+    pub fn fencing_token(&self) -> FencingToken {
+        self.fencing_token
+    }
+
+    /// The message to the worker.
+    pub fn into_response(self) -> HeartbeatResponse {
+        HeartbeatResponse {
+            fencing_token: self.fencing_token,
+            commands: self.commands,
+        }
+    }
+}
+
+/// Whether the commands stop an attempt without a grace period.
+fn stops_at_once(commands: &[Command], attempt_id: &AttemptId) -> bool {
+    commands.iter().any(|command| match command {
+        Command::Stop { grace_s, .. } => *grace_s <= 0.0 && command.attempt_id() == *attempt_id,
+        Command::Launch { .. } | Command::Clear { .. } => false,
+    })
+}
+
+fn stop_at_once(attempt_id: &AttemptId) -> Command {
+    Command::Stop {
+        task: attempt_id.task.clone(),
+        attempt: attempt_id.number,
+        grace_s: Duration::ZERO.as_secs_f64(),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/coordination/worker_leases/lease_renewal/tests.rs
@@ -0,0 +1,82 @@
+use std::time::Instant;
+
+use super::*;
+use crate::coordination::worker_leases::run_permit::RunDeadline;
+use crate::protocol::TaskId;
+use crate::protocol::workers::AttemptOutcome;
+
+const ATTEMPT: u64 = 7;
+const TOKEN: FencingToken = FencingToken::new(3);
+
+fn permit() -> RunPermit {
+    let now = Instant::now();
+    let deadline = RunDeadline::new(Some(now), Duration::from_secs(1));
+    deadline.permit(now).expect("before the deadline")
+}
+
+fn status(task: &str, state: TaskState, outcome: Option<AttemptOutcome>) -> TaskStatus {
+    TaskStatus {
+        task: TaskId::parse(task).expect("a task"),
+        attempt: ATTEMPT,
+        state,
+        outcome,
+    }
+}
+
+fn heartbeat(tasks: Vec<TaskStatus>) -> WorkerHeartbeat {
+    WorkerHeartbeat {
+        machine: "vm-1".into(),
+        addr: "10.0.0.1:9000".into(),
+        machine_type: "m8".into(),
+        zone: "north".into(),
+        spot: false,
+        agent_epoch: 1,
+        sequence: 1,
+        fencing_token: FencingToken::new(1),
+        preemption_notice_s: None,
+        tasks,
+    }
+}
+
+fn stop(task: &str, grace_s: f64) -> Command {
+    Command::Stop {
+        task: TaskId::parse(task).expect("a task"),
+        attempt: ATTEMPT,
+        grace_s,
+    }
+}
+
+fn is_open(status: &TaskStatus) -> bool {
+    &*status.task.job == "run-1"
+}
+
+#[test]
+fn every_live_task_of_a_job_that_is_not_open_is_stopped() {
+    let live_states = [
+        TaskState::Fetching,
+        TaskState::Waiting,
+        TaskState::Running,
+        TaskState::Saving,
+    ];
+    for state in live_states {
+        let listed = heartbeat(vec![
+            status("run-1/0", state, None),
+            status("run-2/0", state, None),
+            status("run-2/1", TaskState::Ended, Some(AttemptOutcome::Done)),
+        ]);
+        let renewal = LeaseRenewal::new(&permit(), TOKEN, &listed, Vec::new(), is_open);
+        assert_eq!(renewal.commands(), [stop("run-2/0", 0.0)], "{state:?}");
+        assert_eq!(renewal.missing_stops().len(), 1);
+    }
+}
+
+#[test]
+fn a_stop_with_a_grace_period_does_not_count_for_a_cancelled_task() {
+    let listed = heartbeat(vec![status("run-2/0", TaskState::Running, None)]);
+    for (grace_s, missing) in [(0.0, 0), (10.0, 1)] {
+        let given = vec![stop("run-2/0", grace_s)];
+        let renewal = LeaseRenewal::new(&permit(), TOKEN, &listed, given, is_open);
+        assert_eq!(renewal.missing_stops().len(), missing);
+        assert_eq!(renewal.commands().last(), Some(&stop("run-2/0", 0.0)));
+    }
+}
--- a/src/coordination/worker_leases/mod.rs
+++ b/src/coordination/worker_leases/mod.rs
@@ -11,6 +11,7 @@
 pub mod advance_delegation;
 mod authority;
 pub mod cancellation_freshness;
+pub mod lease_renewal;
 pub mod run_permit;
 
 pub use authority::DelegatedRenewal;
--- a/src/storage/job_index/state.rs
+++ b/src/storage/job_index/state.rs
@@ -45,7 +45,8 @@
     }
 
     pub(super) fn is_open(&self, id: &str) -> bool {
-        self.open_jobs.contains(id)
+        // A read that was sent before the job finished may list it as open afterwards.
+        self.open_jobs.contains(id) && !self.final_states.contains_key(id)
     }
 
     pub(super) fn has_finished(&self, id: &str, mod_revision: u64) -> bool {
--- a/src/storage/job_index/tests.rs
+++ b/src/storage/job_index/tests.rs
@@ -78,3 +78,26 @@
         Some(2_000)
     );
 }
+
+/// Guards against `ran_cancelled`: a controller that had cancelled a job renewed the leases of its
+/// tasks, since a catch-up read sent before was applied afterwards.
+#[test]
+fn a_cancelled_job_does_not_open_again_by_a_read_sent_before() {
+    let job_index = JobIndex::new(Duration::ZERO);
+    job_index.state().record_cancelled("run-1", 6);
+    job_index.apply(vec![put(&keys::job("run-1"), json!({}))], 5);
+    assert!(!job_index.is_open("run-1"));
+}
+
+/// A controller's own cancellations stay listed for the others although the store no longer has the
+/// changes and the open jobs are listed anew.
+#[test]
+fn cancellations_stay_listed_after_a_reload() {
+    let job_index = JobIndex::new(Duration::ZERO);
+    job_index.apply(vec![put(&keys::job("run-1"), json!({}))], 5);
+    job_index.state().record_cancelled("run-1", 6);
+    job_index.state().load(&[], 9);
+    let listed = job_index.cancelled_after(5).expect("a complete list");
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].revision, 6);
+}
--- a/tests/upgrade/cluster.rs
+++ b/tests/upgrade/cluster.rs
@@ -222,9 +222,8 @@
             worker.sequence += 1;
             worker.fencing_token = self.fencing_token;
             let heartbeat = worker.clone();
-            if let HeartbeatOutcome::Answer { commands, .. } = shard.heartbeat(&heartbeat, self.now)
-            {
-                self.execute_commands(&machine, &commands);
+            if let HeartbeatOutcome::Renew(renewal) = shard.heartbeat(&heartbeat, self.now) {
+                self.execute_commands(&machine, renewal.commands());
             }
             self.reconcile(shard);
         }
