Treat an ended attempt that runs again as live

A task of a cancelled job could run on for ever, without a stop: suspected by reading, shown by a test. A worker that was told to forget an attempt starts it again when a late copy of its launch arrives. The leader still had the attempt as ended: it changed the phase back, requested no stop, and did not record the task as live, so that it might have started it elsewhere besides.

Such an attempt is now adopted like one of an earlier leader: it is live, and it is stopped if its job is finished or its task is done or has another attempt. It is not cleared again, since more copies may follow. A warning says that it happened.

Not red before, a guard: an_ended_attempt_that_runs_again_is_stopped_by_a_later_cancellation.

--- a/src/coordination/shard/reconciler/task_list.rs
+++ b/src/coordination/shard/reconciler/task_list.rs
@@ -51,17 +51,13 @@
     /// Applies one entry of the task list to its attempt.
     fn apply_status(&mut self, machine_id: &MachineId, status: &TaskStatus, now: Instant) {
         let attempt_id = status.attempt_id();
-        let is_known = self
-            .machines
-            .get(machine_id)
-            .is_some_and(|machine| machine.attempts.contains_key(&attempt_id));
-        if !is_known {
-            self.adopt_attempt(
-                machine_id,
-                &attempt_id,
-                status.state != TaskState::Ended,
-                now,
-            );
+        let is_live = status.state != TaskState::Ended;
+        let machine = self.machines.get(machine_id);
+        let known = machine.and_then(|machine| machine.attempts.get(&attempt_id));
+        match known.map(Attempt::ended) {
+            None => self.adopt_attempt(machine_id, &attempt_id, is_live, now),
+            Some(true) if is_live => self.revive_attempt(machine_id, &attempt_id, now),
+            Some(_) => {}
         }
         let phase = Phase::from(status);
         let Some(machine) = self.machines.get_mut(machine_id) else {
@@ -88,8 +84,26 @@
         }
     }
 
-    /// Adds an attempt that an earlier leader launched. A stop is requested if its job is
-    /// finished, or if its task is completed or has another attempt.
+    /// Replaces an attempt that had ended by one that runs: the worker was told to forget it, and a
+    /// late copy of its launch started it again. Further copies may arrive, so it is not cleared again.
+    fn revive_attempt(&mut self, machine_id: &MachineId, attempt_id: &AttemptId, now: Instant) {
+        tracing::warn!(
+            fencing_token = %self.fencing_token,
+            machine = %machine_id,
+            task = %attempt_id.task,
+            attempt = attempt_id.number,
+            "an ended attempt runs again"
+        );
+        self.adopt_attempt(machine_id, attempt_id, true, now);
+        let machine = self.machines.get_mut(machine_id);
+        if let Some(attempt) = machine.and_then(|machine| machine.attempts.get_mut(attempt_id)) {
+            attempt.has_unanswered_launch = true;
+        }
+    }
+
+    /// Adds an attempt that this leader doesn't know as live: an earlier leader launched it, or it
+    /// runs again. A stop is requested if its job is finished, or if its task is completed or has
+    /// another attempt.
     fn adopt_attempt(
         &mut self,
         machine_id: &MachineId,
--- a/src/coordination/shard/tests/cancelled_tasks.rs
+++ b/src/coordination/shard/tests/cancelled_tasks.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
-use super::fixtures::{CANCELLATION_BOUND, policy, recovered_job, roster_machine, running_task};
-use super::scripted_shard::{ScriptedShard, TOKEN, count_stops};
+use super::fixtures::{
+    CANCELLATION_BOUND, ended_task, policy, recovered_job, roster_machine, running_task, spec,
+};
+use super::scripted_shard::{ScriptedShard, TOKEN, count_stops, launched_attempt};
 use crate::coordination::shard::{HeartbeatOutcome, RecoveredState};
-use crate::protocol::workers::WorkerHeartbeat;
+use crate::protocol::workers::{AttemptOutcome, WorkerHeartbeat};
 
 /// The attempt number of a launch by an earlier leader.
 const EARLIER_ATTEMPT: u64 = 9;
@@ -66,3 +68,48 @@
     let heartbeat = script.heartbeat_of("vm-1", TOKEN, tasks);
     assert_eq!(stops_in_answer(&mut script, &heartbeat), 0);
 }
+
+/// A shard whose task `run-1/0` ended on vm-1 and may be cleared there.
+fn shard_with_cleared_attempt() -> (ScriptedShard, u64) {
+    let mut script = ScriptedShard::empty();
+    script.add_machines(&["vm-1"]);
+    script.submit("run-1", spec("blue", 1.0, 2));
+    let batch = script.take_launches().remove(0);
+    let attempt_number = launched_attempt(&batch.commands);
+    let tasks = [0, 1].map(|index| running_task(&format!("run-1/{index}"), attempt_number + index));
+    script.execute(&batch, tasks.to_vec());
+    let [_, other] = tasks;
+    let ended = ended_task("run-1/0", attempt_number, AttemptOutcome::Done);
+    script.heartbeat("vm-1", vec![ended, other]);
+    (script, attempt_number)
+}
+
+/// Guards against `ran_cancelled`: a late copy of a launch started a cleared attempt again, and
+/// nothing stopped it, since it counted as ended.
+#[test]
+fn an_ended_attempt_that_runs_again_is_stopped_if_its_job_is_cancelled() {
+    let (mut script, attempt_number) = shard_with_cleared_attempt();
+    script.shard.job_finished("run-1", None);
+    script.take_batches();
+    let tasks = || {
+        vec![
+            running_task("run-1/0", attempt_number),
+            running_task("run-1/1", attempt_number + 1),
+        ]
+    };
+    let commands = script.heartbeat("vm-1", tasks());
+    assert_eq!(count_stops(&commands), 2, "{commands:?}");
+    let live = script.shard.jobs()["run-1"].live();
+    assert!(live.contains(0), "an attempt of the task exists again");
+}
+
+/// The same attempt of a job that is cancelled later.
+#[test]
+fn an_ended_attempt_that_runs_again_is_stopped_by_a_later_cancellation() {
+    let (mut script, attempt_number) = shard_with_cleared_attempt();
+    let tasks = || vec![running_task("run-1/0", attempt_number)];
+    script.heartbeat("vm-1", tasks());
+    script.shard.job_finished("run-1", None);
+    let commands = script.heartbeat("vm-1", tasks());
+    assert_eq!(count_stops(&commands), 1, "{commands:?}");
+}
