Decide what a batch of commands holds when it is sent

After a user was told that a job is cancelled, tasks of it could still start: with thousands of machines, a batch of commands waits for one of the permits to send (7 % of the sockets), up to the better part of a minute while workers don't answer, and was sent as it had been queued. With 1,800 sockets and 4,000 unreachable workers the wait can exceed cancel_s, by the constants; it was not measured. A stop decided meanwhile waited for the answer to the old batch.

Cause: the executor asked, before it sent, whether the leader knows the recent cancellations (the permit), not whether the batch still agrees with them. It is the same class of fault as in the renewals of leases: to know of a cancellation was taken for having applied it.

Fix: the executor asks the shard for the commands once it may send (Shard::due_batch): launches of cancelled jobs and of a leader past its run deadline are left out, stops are in. A batch with nothing left is over and counts as no failure. LeaseRenewal also stops what a repeated launch starts.

Failed before: a_launch_that_waited_is_not_sent_once_its_job_is_cancelled (the launch was sent). a_launch_that_waited_past_the_run_deadline_is_not_sent used a batch that the shard had never decided; it now uses a launch of the shard's own, with the same two expectations.

--- a/src/coordination/executor/commands.rs
+++ b/src/coordination/executor/commands.rs
@@ -1,7 +1,8 @@
 //! Sends batches of commands to workers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use hyper::{Method, StatusCode};
 use tracing::{debug, warn};
@@ -9,6 +10,7 @@
 use crate::coordination::leadership::lease::ShardLease;
 use crate::coordination::node::Node;
 use crate::coordination::shard::CommandOutcome;
+use crate::protocol::MachineId;
 use crate::protocol::workers::{Command, CommandBatch};
 use crate::transport::client::{Answer, CallError};
 
@@ -17,62 +19,93 @@
 /// The same for a probe: an empty batch, which only requests the worker's status.
 const PROBE_DEADLINE: Duration = Duration::from_secs(1);
 
-/// Sends one batch of commands to the worker at `addr` and returns its outcome. An empty batch
-/// is a probe. Waits for a permit first, since commands and probes in flight are limited.
-pub(super) async fn send(
-    node: &Node,
-    lease: &ShardLease,
-    addr: &str,
-    agent_epoch: u64,
-    commands: &[Command],
-) -> CommandOutcome {
-    let Ok(addr) = addr.parse::<SocketAddr>() else {
-        return CommandOutcome::NotSent;
-    };
-    let batch = CommandBatch {
-        fencing_token: lease.fencing_token,
-        agent_epoch,
-        commands: commands.to_vec(),
-    };
-    let Ok(body) = serde_json::to_vec(&batch) else {
-        return CommandOutcome::NotSent;
-    };
-    let (deadline, permits) = if commands.is_empty() {
-        (PROBE_DEADLINE, &node.admission.probes)
-    } else {
-        (COMMAND_DEADLINE, &node.admission.commands)
-    };
-    let queued_at = node.now();
-    let _permit = permits.acquire().await;
-    let waited = node.now().saturating_duration_since(queued_at);
-    node.lock().counters.batches.record_sent(waited);
-    debug!(
-        %addr,
-        fencing_token = %lease.fencing_token,
-        agent_epoch,
-        commands = commands.len(),
-        waited_s = waited.as_secs_f64(),
-        "batch of commands may be sent"
-    );
-    // Both may have expired while the batch waited.
-    if !lease.is_live(node.now()) || !may_execute(node, commands) {
-        return CommandOutcome::NotSent;
+/// A batch of commands on its way to a worker. An empty batch is a probe.
+pub(super) struct CommandDelivery {
+    pub(super) machine: MachineId,
+    pub(super) addr: String,
+    pub(super) agent_epoch: u64,
+    pub(super) number: u64,
+    pub(super) commands: Vec<Command>,
+}
+
+impl CommandDelivery {
+    /// Sends the batch and reports the outcome to the shard.
+    pub(super) async fn deliver(mut self, node: &Arc<Node>, lease: &Arc<ShardLease>) {
+        let Some(outcome) = self.send(node, lease).await else {
+            return;
+        };
+        node.with_shard(lease, "answers", |shard, now| {
+            shard.command_answered(&self.machine, self.number, &self.commands, outcome, now);
+        });
     }
-    let result = node
-        .workers_http()
-        .call(Method::POST, addr, "/commands", body, deadline)
-        .await;
-    match result {
-        Ok(answer) => command_outcome(&answer, addr),
-        Err(CallError::NotSent) => CommandOutcome::NotSent,
-        Err(CallError::NoAnswer | CallError::TooLarge) => CommandOutcome::NoAnswer,
+
+    /// Waits for a permit, since commands and probes in flight are limited, and sends what the
+    /// worker is to be sent then. `None` if that is nothing any more.
+    async fn send(&mut self, node: &Arc<Node>, lease: &Arc<ShardLease>) -> Option<CommandOutcome> {
+        let Ok(addr) = self.addr.parse::<SocketAddr>() else {
+            return Some(CommandOutcome::NotSent);
+        };
+        let is_probe = self.commands.is_empty();
+        let (deadline, permits) = if is_probe {
+            (PROBE_DEADLINE, &node.admission.probes)
+        } else {
+            (COMMAND_DEADLINE, &node.admission.commands)
+        };
+        let queued_at = node.now();
+        let _permit = permits.acquire().await;
+        self.record_wait(node, lease, queued_at);
+        // The lease may have expired while the batch waited.
+        if !lease.is_live(node.now()) {
+            return Some(CommandOutcome::NotSent);
+        }
+        if !is_probe {
+            self.update(node, lease)?;
+        }
+        let Ok(body) = self.body(lease) else {
+            return Some(CommandOutcome::NotSent);
+        };
+        let result = node
+            .workers_http()
+            .call(Method::POST, addr, "/commands", body, deadline)
+            .await;
+        Some(match result {
+            Ok(answer) => command_outcome(&answer, addr),
+            Err(CallError::NotSent) => CommandOutcome::NotSent,
+            Err(CallError::NoAnswer | CallError::TooLarge) => CommandOutcome::NoAnswer,
+        })
     }
-}
 
-/// Whether the worker may execute the commands now: launches need a permit to let tasks run.
-fn may_execute(node: &Node, commands: &[Command]) -> bool {
-    let is_launch = |command: &Command| matches!(command, Command::Launch { .. });
-    !commands.iter().any(is_launch) || node.run_permit().is_some()
+    /// Replaces the commands by those that are due now; `None` if none is.
+    fn update(&mut self, node: &Arc<Node>, lease: &Arc<ShardLease>) -> Option<()> {
+        let due = node.with_shard(lease, "batches", |shard, now| {
+            shard.due_batch(&self.machine, self.number, now)
+        });
+        let due = due.flatten()?;
+        self.agent_epoch = due.agent_epoch;
+        self.commands = due.commands;
+        Some(())
+    }
+
+    fn body(&self, lease: &ShardLease) -> Result<Vec<u8>, serde_json::Error> {
+        serde_json::to_vec(&CommandBatch {
+            fencing_token: lease.fencing_token,
+            agent_epoch: self.agent_epoch,
+            commands: self.commands.clone(),
+        })
+    }
+
+    fn record_wait(&self, node: &Node, lease: &ShardLease, queued_at: Instant) {
+        let waited = node.now().saturating_duration_since(queued_at);
+        node.lock().counters.batches.record_sent(waited);
+        debug!(
+            machine = %self.machine,
+            fencing_token = %lease.fencing_token,
+            agent_epoch = self.agent_epoch,
+            commands = self.commands.len(),
+            waited_s = waited.as_secs_f64(),
+            "batch of commands may be sent"
+        );
+    }
 }
 
 fn command_outcome(answer: &Answer, addr: SocketAddr) -> CommandOutcome {
--- a/src/coordination/executor/mod.rs
+++ b/src/coordination/executor/mod.rs
@@ -16,6 +16,7 @@
 
 use tracing::{debug, warn};
 
+use self::commands::CommandDelivery;
 use self::shard_write::WriteOutcome;
 use super::cloud::client::CloudError;
 use super::leadership::lease::ShardLease;
@@ -35,10 +36,14 @@
             number,
             commands,
         } => {
-            let outcome = commands::send(&node, &lease, &addr, agent_epoch, &commands).await;
-            node.with_shard(&lease, "answers", |shard, now| {
-                shard.command_answered(&machine, number, &commands, outcome, now);
-            });
+            let batch = CommandDelivery {
+                machine,
+                addr,
+                agent_epoch,
+                number,
+                commands,
+            };
+            batch.deliver(&node, &lease).await;
         }
         Action::Write(write) => apply_write(&node, &lease, &write).await,
         Action::Finish { job, mod_revision } => {
--- a/src/coordination/shard/action.rs
+++ b/src/coordination/shard/action.rs
@@ -12,7 +12,8 @@
 /// outcome to the method of [`super::Shard`] that the variant's documentation names.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Send a batch of commands to a worker (`/commands`). The outcome goes to
+    /// Send a batch of commands to a worker (`/commands`). Immediately before it is sent, a batch
+    /// that isn't a probe is replaced by [`super::Shard::due_batch`]. The outcome goes to
     /// [`super::Shard::command_answered`].
     Command {
         /// The machine on which the worker runs.
--- a/src/coordination/shard/dispatch/batch.rs
+++ b/src/coordination/shard/dispatch/batch.rs
@@ -11,26 +11,16 @@
 use crate::protocol::{AttemptId, MachineId, TaskId};
 
 impl Shard {
-    /// Sends a machine one batch with all commands that its attempts need now. Launches are left
-    /// out while this leader may start no tasks.
+    /// Sends a machine one batch with all commands that its attempts need now.
     pub(super) fn send_commands(&mut self, machine_id: &MachineId, now: Instant) {
-        let Some(machine) = self.machines.get_mut(machine_id) else {
-            return;
-        };
-        let Some(agent_epoch) = machine.agent_epoch() else {
+        let machine = self.machines.get(machine_id);
+        let Some(agent_epoch) = machine.and_then(Machine::agent_epoch) else {
             return;
         };
-        // Clears come first and launches last, so that clears and stops release resources
-        // before the launches need them.
-        let mut commands = clear_commands(machine);
-        push_pending_stops(machine, &mut commands);
-        if let Some(permit) = self.run_deadline.permit(now) {
-            push_pending_launches(machine, &permit, &mut commands);
-        }
-        if commands.is_empty() {
-            return;
+        let commands = self.due_commands(machine_id, now);
+        if !commands.is_empty() {
+            self.send_batch(machine_id, agent_epoch, commands);
         }
-        self.send_batch(machine_id, agent_epoch, commands);
     }
 
     /// Sends a batch to a machine, which gets no other until this one is answered or fails.
@@ -70,7 +60,7 @@
 
 /// Appends a command for each stop that the worker has not executed yet, and marks these
 /// attempts as having a command in flight.
-fn push_pending_stops(machine: &mut Machine, commands: &mut Vec<Command>) {
+pub(super) fn push_pending_stops(machine: &mut Machine, commands: &mut Vec<Command>) {
     for (attempt_id, attempt) in &mut machine.attempts {
         if let Some(grace) = attempt.stop_to_send() {
             commands.push(stop_command(&attempt_id.task, attempt_id.number, grace));
@@ -81,7 +71,11 @@
 
 /// Appends a command for each launch that was not sent yet, and marks these attempts as
 /// having a command in flight.
-fn push_pending_launches(machine: &mut Machine, permit: &RunPermit, commands: &mut Vec<Command>) {
+pub(super) fn push_pending_launches(
+    machine: &mut Machine,
+    permit: &RunPermit,
+    commands: &mut Vec<Command>,
+) {
     for (attempt_id, attempt) in &mut machine.attempts {
         if attempt.needs_launch() {
             commands.push(launch_command(attempt_id, permit));
--- a/src/coordination/shard/dispatch/mod.rs
+++ b/src/coordination/shard/dispatch/mod.rs
@@ -9,10 +9,12 @@
 
 mod answers;
 mod batch;
+mod due_batch;
 mod lease_expiry;
 mod probes;
 mod repeated;
 
+pub use due_batch::DueBatch;
 pub(super) use probes::FIRST_AGENT_EPOCH;
 pub(super) use repeated::commands_to_repeat;
 
--- a/src/coordination/shard/machines/command_channel.rs
+++ b/src/coordination/shard/machines/command_channel.rs
@@ -37,7 +37,6 @@
     }
 
     /// Whether the batch with this number awaits its answer.
-    #[cfg(test)]
     pub fn awaits(&self, number: u64) -> bool {
         self.outstanding.is_some_and(|batch| batch.number == number)
     }
--- a/src/coordination/shard/mod.rs
+++ b/src/coordination/shard/mod.rs
@@ -32,6 +32,7 @@
 
 pub use action::{Action, CommandOutcome};
 pub use autoscaler::RentalOutcome;
+pub use dispatch::DueBatch;
 pub use health::{FailureHistory, MachineHealth};
 pub use invariants::InvariantViolation;
 pub use jobs::{Job, LiveTasks, Placement, TaskCounts, UnfinishedJob};
--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -23,8 +23,8 @@
 use super::machines::{EpochChange, HeartbeatNumber};
 use super::{Action, InvariantViolation, Machine, Shard};
 use crate::coordination::worker_leases::lease_renewal::LeaseRenewal;
-use crate::protocol::MachineId;
-use crate::protocol::workers::{TaskStatus, WorkerHeartbeat};
+use crate::protocol::workers::WorkerHeartbeat;
+use crate::protocol::{MachineId, TaskId};
 
 /// Minimum time between two probes that outdated heartbeats of one machine cause.
 const OUTDATED_HEARTBEAT_PROBE_PAUSE: Duration = Duration::from_secs(2);
@@ -73,7 +73,7 @@
         } else {
             Vec::new()
         };
-        let is_open = |status: &TaskStatus| self.is_open_task(&status.task);
+        let is_open = |task: &TaskId| self.is_open_task(task);
         let renewal = LeaseRenewal::new(&permit, self.fencing_token, heartbeat, commands, is_open);
         if is_reconciled {
             self.check_stops(&heartbeat.machine, &renewal);
--- a/src/coordination/shard/tests/delegations.rs
+++ b/src/coordination/shard/tests/delegations.rs
@@ -10,7 +10,7 @@
 use super::scripted_shard::{ScriptedShard, TOKEN};
 use crate::coordination::shard::{RecoveredState, UnfinishedJob};
 use crate::coordination::worker_leases::lease_renewal::LeaseRenewal;
-use crate::protocol::workers::{AttemptOutcome, Command, TaskStatus};
+use crate::protocol::workers::{AttemptOutcome, Command};
 use crate::protocol::{FencingToken, TaskId};
 
 /// Found in a full-size run: a network partition between zones ended half of all service replicas.
@@ -113,7 +113,7 @@
     );
     let permit = distant_run_deadline(script.now).permit(script.now);
     let permit = permit.expect("before the deadline");
-    let is_open = |status: &TaskStatus| &*status.task.job == "run-1";
+    let is_open = |task: &TaskId| &*task.job == "run-1";
     let token = FencingToken::new(TOKEN);
     let renewal = LeaseRenewal::new(&permit, token, &heartbeat, Vec::new(), is_open);
     let stop = Command::Stop {
--- a/src/coordination/tests/cancellation_freshness.rs
+++ b/src/coordination/tests/cancellation_freshness.rs
@@ -10,11 +10,9 @@
     ACCEPTED_REVISION, CANCELLED_REVISION, CATCH_UP_REVISION, StoreOutage, seconds, spec,
 };
 use crate::coordination::executor::execute;
-use crate::coordination::shard::Action;
 use crate::coordination::worker_leases::cancellation_freshness::{
     CancellationFreshness, staleness_bound,
 };
-use crate::protocol::TaskId;
 use crate::protocol::kv::WatchEvent;
 use crate::protocol::users::JobStage;
 use crate::protocol::workers::Command;
@@ -129,19 +127,10 @@
 /// A batch may wait before it is sent, and its launches need a permit when it is.
 #[tokio::test]
 async fn a_launch_that_waited_past_the_run_deadline_is_not_sent() {
-    let outage = StoreOutage::new().await;
+    let mut outage = StoreOutage::new().await;
     let worker = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
-    let launch = |worker: &TcpListener| Action::Command {
-        machine: "vm-1".into(),
-        addr: worker.local_addr().expect("its address").to_string(),
-        agent_epoch: 1,
-        number: 1,
-        commands: vec![Command::Launch {
-            task: TaskId::parse("run-000001/0").expect("a task"),
-            attempt: 1,
-        }],
-    };
-    let execute = || execute(outage.leader.clone(), outage.lease.clone(), launch(&worker));
+    let launch = outage.launch_on(&worker);
+    let execute = || execute(outage.leader.clone(), outage.lease.clone(), launch.clone());
     tokio::select! {
         () = execute() => panic!("the worker does not answer"),
         connection = worker.accept() => assert!(connection.is_ok()),
@@ -153,6 +142,28 @@
     }
 }
 
+/// Guards against `ran_cancelled`: a launch waited for a permit to be sent, its job was cancelled
+/// meanwhile, and it was sent all the same.
+#[tokio::test]
+async fn a_launch_that_waited_is_not_sent_once_its_job_is_cancelled() {
+    let mut outage = StoreOutage::new().await;
+    let worker = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let launch = outage.launch_on(&worker);
+    let limit = outage.leader.admission.commands.available_permits() as u32;
+    let in_flight = outage.leader.admission.commands.acquire_many(limit).await;
+    let leader = outage.leader.clone();
+    let mut sending = std::pin::pin!(execute(leader, outage.lease.clone(), launch));
+    let wait = std::time::Duration::from_millis(20);
+    assert!(tokio::time::timeout(wait, &mut sending).await.is_err());
+    outage.cancel_through_peer();
+    outage.record_confirmations_of(&outage.peer.clone());
+    drop(in_flight);
+    tokio::select! {
+        () = &mut sending => {}
+        _ = worker.accept() => panic!("the launch was sent"),
+    }
+}
+
 /// A cancellation that reached the job index before the shard was installed is applied to it.
 #[tokio::test]
 async fn a_cancellation_known_before_the_shard_is_recovered_is_applied_to_it() {
--- a/src/coordination/tests/store_outage.rs
+++ b/src/coordination/tests/store_outage.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde_json::json;
+use tokio::net::TcpListener;
 
 use super::peering::make_leader_with_state;
 use super::{heartbeat, node, peer};
@@ -14,14 +15,16 @@
 use crate::coordination::peering::cancellations::{
     confirmed_cancellations, record_peer_cancellations,
 };
-use crate::coordination::shard::{Attempt, Phase, RecoveredMachine, RecoveredState, UnfinishedJob};
+use crate::coordination::shard::{
+    Action, Attempt, CommandOutcome, Phase, RecoveredMachine, RecoveredState, UnfinishedJob,
+};
 use crate::coordination::worker_heartbeats::{HeartbeatDecision, handle_heartbeat};
-use crate::protocol::TaskId;
 use crate::protocol::cloud::MachineType;
 use crate::protocol::kv::WatchEvent;
 use crate::protocol::peer_messages::{CancellationsRequest, ConfirmedCancellations};
 use crate::protocol::users::{JobSpec, JobStage, Submission, parse_submission};
 use crate::protocol::workers::{Command, TaskState, TaskStatus};
+use crate::protocol::{MachineId, TaskId};
 use crate::storage::keys;
 use crate::storage::records::{FORMAT_VERSION, FinalRecord, JobRecord, RosterRecord};
 
@@ -162,6 +165,29 @@
         }
     }
 
+    /// The batch by which the leader launches the job's task at a worker with this listener.
+    pub(super) fn launch_on(&mut self, worker: &TcpListener) -> Action {
+        let addr = worker.local_addr().expect("its address").to_string();
+        self.sequence += 1;
+        let mut heartbeat = heartbeat(TOKEN);
+        heartbeat.addr = addr;
+        heartbeat.sequence = self.sequence;
+        let actions = self.leader.with_shard(&self.lease, "ticks", |shard, now| {
+            let machine: MachineId = heartbeat.machine.as_str().into();
+            // The probe that the recovered machine was sent.
+            let executed = CommandOutcome::Executed(heartbeat);
+            shard.command_answered(&machine, 1, &[], executed, now);
+            shard.tick(now);
+            shard.take_actions()
+        });
+        let is_launch = |action: &Action| match action {
+            Action::Command { commands, .. } => matches!(commands[..], [Command::Launch { .. }]),
+            _ => false,
+        };
+        let launch = actions.expect("the leader leads").into_iter();
+        launch.into_iter().find(is_launch).expect("a launch")
+    }
+
     /// Lets the leader decide, and returns how many launches are due on the worker's machine.
     pub(super) fn count_launches(&self) -> usize {
         let launches = self.leader.with_shard(&self.lease, "ticks", |shard, now| {
--- a/src/coordination/worker_heartbeats.rs
+++ b/src/coordination/worker_heartbeats.rs
@@ -11,8 +11,8 @@
 use super::shard::HeartbeatOutcome;
 use super::worker_leases::lease_renewal::LeaseRenewal;
 use super::worker_leases::{DelegatedRenewal, RenewalAuthority};
-use crate::protocol::FencingToken;
-use crate::protocol::workers::{Command, Redirect, TaskStatus, WorkerHeartbeat};
+use crate::protocol::workers::{Command, Redirect, WorkerHeartbeat};
+use crate::protocol::{FencingToken, TaskId};
 
 /// How a heartbeat is answered, with the HTTP status of each answer.
 #[derive(Debug, Clone, PartialEq)]
@@ -111,7 +111,7 @@
     } = node.delegated_renewal(heartbeat)?;
     apply_to_own_shard(node, fencing_token, heartbeat);
     // The controller starts no tasks on the leader's behalf and stops only those of finished jobs.
-    let is_open = |status: &TaskStatus| node.job_index.is_open(&status.task.job);
+    let is_open = |task: &TaskId| node.job_index.is_open(&task.job);
     let renewal = LeaseRenewal::new(&permit, fencing_token, heartbeat, Vec::new(), is_open);
     Some(renew(node, authority, heartbeat, renewal))
 }
--- a/src/coordination/worker_leases/lease_renewal.rs
+++ b/src/coordination/worker_leases/lease_renewal.rs
@@ -13,7 +13,7 @@
 use crate::protocol::workers::{
     Command, HeartbeatResponse, TaskState, TaskStatus, WorkerHeartbeat,
 };
-use crate::protocol::{AttemptId, FencingToken};
+use crate::protocol::{AttemptId, FencingToken, TaskId};
 
 /// The commands of an answer that renews a worker's lease, with a stop for each task that must not
 /// run on.
@@ -25,20 +25,24 @@
 }
 
 impl LeaseRenewal {
-    /// The answer to `heartbeat` under a fencing token, with these commands, and with the stops that they lack: of each
-    /// listed task of which `is_open` says that its job is not open.
+    /// The answer to `heartbeat` under a fencing token, with these commands, and with the stops that
+    /// they lack: of each task that is listed or launched and of which `is_open` says that its job is
+    /// not open.
     pub fn new(
         _: &RunPermit,
         fencing_token: FencingToken,
         heartbeat: &WorkerHeartbeat,
         mut commands: Vec<Command>,
-        is_open: impl Fn(&TaskStatus) -> bool,
+        is_open: impl Fn(&TaskId) -> bool,
     ) -> Self {
-        let missing_stops: Vec<AttemptId> = heartbeat
-            .tasks
-            .iter()
-            .filter(|status| status.state != TaskState::Ended && !is_open(status))
+        let is_live = |status: &&TaskStatus| status.state != TaskState::Ended;
+        let listed = heartbeat.tasks.iter().filter(is_live);
+        let is_launch = |command: &&Command| matches!(command, Command::Launch { .. });
+        let launched = commands.iter().filter(is_launch);
+        let missing_stops: Vec<AttemptId> = listed
             .map(TaskStatus::attempt_id)
+            .chain(launched.map(Command::attempt_id))
+            .filter(|attempt_id| !is_open(&attempt_id.task))
             .filter(|attempt_id| !stops_at_once(&commands, attempt_id))
             .collect();
         commands.extend(missing_stops.iter().map(stop_at_once));
--- a/src/coordination/worker_leases/lease_renewal/tests.rs
+++ b/src/coordination/worker_leases/lease_renewal/tests.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::coordination::worker_leases::run_permit::RunDeadline;
-use crate::protocol::TaskId;
 use crate::protocol::workers::AttemptOutcome;
 
 const ATTEMPT: u64 = 7;
@@ -46,8 +45,8 @@
     }
 }
 
-fn is_open(status: &TaskStatus) -> bool {
-    &*status.task.job == "run-1"
+fn is_open(task: &TaskId) -> bool {
+    &*task.job == "run-1"
 }
 
 #[test]
@@ -80,3 +79,14 @@
         assert_eq!(renewal.commands().last(), Some(&stop("run-2/0", 0.0)));
     }
 }
+
+#[test]
+fn a_repeated_launch_of_a_cancelled_task_is_followed_by_its_stop() {
+    let launch = Command::Launch {
+        task: TaskId::parse("run-2/0").expect("a task"),
+        attempt: ATTEMPT,
+    };
+    let commands = vec![launch.clone()];
+    let renewal = LeaseRenewal::new(&permit(), TOKEN, &heartbeat(Vec::new()), commands, is_open);
+    assert_eq!(renewal.commands(), [launch, stop("run-2/0", 0.0)]);
+}
