--- /dev/null
+++ b/tests/soak/history.rs
@@ -0,0 +1,233 @@
+//! What workers ran, and what users were told, by one clock; and the rules of PROTOCOL checked by both.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+use valegap::protocol::workers::AttemptOutcome;
+use valegap::protocol::{FencingToken, TaskId};
+
+use crate::support::worker::{MachineKind, WorkerObserver};
+
+/// A rule of PROTOCOL that was broken.
+#[derive(Debug, Clone, Error)]
+pub(crate) enum Violation {
+    #[error("ran_twice: {task} started on {machine} while on {other}")]
+    RanTwice {
+        task: String,
+        machine: String,
+        other: String,
+    },
+    #[error(
+        "ran_cancelled: {task} attempt {attempt} on {machine} for {late:?} too long, \
+         started {started_after:?} after the confirmation (0 ns if before)"
+    )]
+    RanCancelled {
+        task: String,
+        attempt: u64,
+        machine: String,
+        late: Duration,
+        started_after: Duration,
+    },
+    #[error("quota: {running} cores for a limit of {limit}")]
+    Quota { running: usize, limit: u32 },
+    #[error("wrong_place: {task} on the spot instance {machine}")]
+    WrongPlace { task: String, machine: String },
+    #[error("went_back: {job} was {before} and is called {after}")]
+    WentBack {
+        job: String,
+        before: String,
+        after: String,
+    },
+    #[error("not_done: {job} is called done, and {task} was not done")]
+    NotDone { job: String, task: String },
+    #[error("forgotten: {job}: {answer} to an accepted job")]
+    Forgotten { job: String, answer: String },
+    #[error("invented: {job}: 200 to a job that nobody submitted")]
+    Invented { job: String },
+    #[error("left_waiting: {job} is {stage} long after the troubles")]
+    LeftWaiting { job: String, stage: String },
+}
+
+/// One run of an attempt on a machine.
+#[derive(Debug, Clone)]
+struct TaskRun {
+    machine: String,
+    task: TaskId,
+    attempt: u64,
+    started: Instant,
+    ended: Option<Instant>,
+    outcome: Option<AttemptOutcome>,
+}
+
+#[derive(Default)]
+struct Recorded {
+    runs: Vec<TaskRun>,
+    tokens: BTreeSet<FencingToken>,
+    stops: usize,
+    /// Jobs that may run on spot instances.
+    spot_jobs: BTreeSet<String>,
+    violations: Vec<Violation>,
+}
+
+impl Recorded {
+    fn running(&self) -> impl Iterator<Item = &TaskRun> {
+        self.runs.iter().filter(|run| run.ended.is_none())
+    }
+}
+
+/// What the workers of a run ran.
+pub(crate) struct TaskHistory {
+    recorded: Mutex<Recorded>,
+    /// The most cores that the team may use; 0 is no limit. Each task takes one.
+    max_cores: u32,
+}
+
+/// How much happened in a run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct TaskCounts {
+    pub(crate) starts: usize,
+    pub(crate) stops: usize,
+    /// Fencing tokens that workers have seen.
+    pub(crate) leaders: usize,
+    /// Starts of tasks whose cancellation was confirmed before.
+    pub(crate) starts_after_cancellation: usize,
+}
+
+impl TaskHistory {
+    pub(crate) fn new(max_cores: u32) -> Self {
+        Self {
+            recorded: Mutex::default(),
+            max_cores,
+        }
+    }
+
+    pub(crate) fn allow_spot(&self, job: &str) {
+        let mut recorded = self.recorded.lock().expect("history");
+        recorded.spot_jobs.insert(job.to_owned());
+    }
+
+    /// The violations that were seen while tasks ran.
+    pub(crate) fn violations(&self) -> Vec<Violation> {
+        self.recorded.lock().expect("history").violations.clone()
+    }
+
+    /// Tasks that ran for longer than `bound` after their jobs' cancellations were confirmed.
+    pub(crate) fn cancelled_runs(
+        &self,
+        confirmed: &BTreeMap<String, Instant>,
+        bound: Duration,
+    ) -> Vec<Violation> {
+        let recorded = self.recorded.lock().expect("history");
+        let now = Instant::now();
+        let check = |run: &TaskRun| {
+            let confirmed_at = *confirmed.get(&*run.task.job)?;
+            let ended = run.ended.unwrap_or(now);
+            let late = ended.checked_duration_since(confirmed_at + bound)?;
+            (!late.is_zero()).then(|| Violation::RanCancelled {
+                task: run.task.to_string(),
+                attempt: run.attempt,
+                machine: run.machine.clone(),
+                late,
+                started_after: run.started.saturating_duration_since(confirmed_at),
+            })
+        };
+        recorded.runs.iter().filter_map(check).collect()
+    }
+
+    /// Tasks of a job with this number of tasks that were not done at a moment.
+    pub(crate) fn tasks_not_done(&self, job: &str, tasks: u32, at: Instant) -> Vec<String> {
+        let recorded = self.recorded.lock().expect("history");
+        let is_done = |run: &&TaskRun| {
+            &*run.task.job == job
+                && run.outcome == Some(AttemptOutcome::Done)
+                && run.ended.is_some_and(|ended| ended <= at)
+        };
+        let done = recorded.runs.iter().filter(is_done);
+        let done: BTreeSet<u32> = done.map(|run| run.task.index).collect();
+        let not_done = (0..tasks).filter(|index| !done.contains(index));
+        not_done.map(|index| format!("{job}/{index}")).collect()
+    }
+
+    pub(crate) fn counts(&self, confirmed: &BTreeMap<String, Instant>) -> TaskCounts {
+        let recorded = self.recorded.lock().expect("history");
+        let is_late = |run: &&TaskRun| {
+            let confirmed_at = confirmed.get(&*run.task.job);
+            confirmed_at.is_some_and(|confirmed_at| run.started > *confirmed_at)
+        };
+        TaskCounts {
+            starts: recorded.runs.len(),
+            stops: recorded.stops,
+            leaders: recorded.tokens.len(),
+            starts_after_cancellation: recorded.runs.iter().filter(is_late).count(),
+        }
+    }
+}
+
+impl WorkerObserver for TaskHistory {
+    fn task_started(&self, machine: &MachineKind, task: &TaskId, attempt: u64) {
+        let mut recorded = self.recorded.lock().expect("history");
+        let elsewhere = |run: &&TaskRun| run.task == *task && run.machine != machine.id;
+        let other = recorded.running().find(elsewhere);
+        let ran_twice = other.map(|other| Violation::RanTwice {
+            task: task.to_string(),
+            machine: machine.id.clone(),
+            other: other.machine.clone(),
+        });
+        let mut violations: Vec<Violation> = ran_twice.into_iter().collect();
+        if machine.spot && !recorded.spot_jobs.contains(&*task.job) {
+            violations.push(Violation::WrongPlace {
+                task: task.to_string(),
+                machine: machine.id.clone(),
+            });
+        }
+        recorded.runs.push(TaskRun {
+            machine: machine.id.clone(),
+            task: task.clone(),
+            attempt,
+            started: Instant::now(),
+            ended: None,
+            outcome: None,
+        });
+        let running = recorded.running().count();
+        if self.max_cores > 0 && running > self.max_cores as usize {
+            violations.push(Violation::Quota {
+                running,
+                limit: self.max_cores,
+            });
+        }
+        recorded.violations.extend(violations);
+    }
+
+    fn task_ended(
+        &self,
+        machine: &MachineKind,
+        task: &TaskId,
+        attempt: u64,
+        at: Instant,
+        outcome: Option<AttemptOutcome>,
+    ) {
+        let mut recorded = self.recorded.lock().expect("history");
+        let mut runs = recorded.runs.iter_mut().rev();
+        let run = runs.find(|run| {
+            run.ended.is_none()
+                && run.attempt == attempt
+                && run.task == *task
+                && run.machine == machine.id
+        });
+        if let Some(run) = run {
+            run.ended = Some(at);
+            run.outcome = outcome;
+        }
+    }
+
+    fn token_seen(&self, fencing_token: FencingToken) {
+        let mut recorded = self.recorded.lock().expect("history");
+        recorded.tokens.insert(fencing_token);
+    }
+
+    fn stop_executed(&self) {
+        self.recorded.lock().expect("history").stops += 1;
+    }
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,182 @@
+//! Plays seeds, several at a time, and reports what happened.
+
+use std::fmt;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::deployment::Deployment;
+use crate::history::{TaskCounts, TaskHistory, Violation};
+use crate::plan::{CONTROLLERS, Plan};
+use crate::seeds::SeedRange;
+use crate::support::proxy::FaultCounts;
+use crate::troubles::bring_about;
+use crate::users::Users;
+
+/// How many seeds are played at a time.
+const SEEDS_AT_A_TIME: usize = 4;
+/// How long users go on after the last trouble.
+const AFTER_TROUBLES: Duration = Duration::from_secs(2);
+/// After the troubles all work has to be as it should be within this time: PROTOCOL gives waiting jobs
+/// 90 s.
+const SETTLE_TIME: Duration = Duration::from_secs(90);
+/// The longest run of a user's request.
+const LONGEST_RUN: Duration = Duration::from_secs(120);
+
+/// What happened in a run.
+pub(crate) struct RunReport {
+    pub(crate) seed: u64,
+    plan: Plan,
+    violations: Vec<Violation>,
+    /// What makes the run worthless, or shows a fault inside a controller.
+    failures: Vec<String>,
+    cancellations: usize,
+    accepted: usize,
+    tasks: TaskCounts,
+    faults: FaultCounts,
+    kills: usize,
+    pauses: usize,
+    refusals: usize,
+    duration: Duration,
+}
+
+impl RunReport {
+    pub(crate) fn has_failed(&self) -> bool {
+        !self.violations.is_empty() || !self.failures.is_empty()
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} machines, {} jobs accepted, {} cancellations confirmed, {} starts \
+             ({} after a confirmed cancellation), {} stops, {} leaders, {} kills, {} pauses, \
+             {} refusals of the store, requests refused {} lost {} late {} held {}, {:.0} s",
+            self.seed,
+            self.plan.machines,
+            self.accepted,
+            self.cancellations,
+            self.tasks.starts,
+            self.tasks.starts_after_cancellation,
+            self.tasks.stops,
+            self.tasks.leaders,
+            self.kills,
+            self.pauses,
+            self.refusals,
+            self.faults.refused,
+            self.faults.lost,
+            self.faults.late,
+            self.faults.held,
+            self.duration.as_secs_f64(),
+        )?;
+        if self.has_failed() {
+            write!(f, "\n  plan: {:?}", self.plan)?;
+        }
+        for violation in &self.violations {
+            write!(f, "\n  {violation}")?;
+        }
+        for failure in &self.failures {
+            write!(f, "\n  {failure}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Plays the seeds, each with a thread and a runtime of its own.
+pub(crate) fn run_seeds(seeds: SeedRange) -> Vec<RunReport> {
+    let remaining = Arc::new(Mutex::new(seeds.iter()));
+    let reports = Arc::new(Mutex::new(Vec::new()));
+    let play = || {
+        let (remaining, reports) = (remaining.clone(), reports.clone());
+        std::thread::spawn(move || {
+            loop {
+                let seed = remaining.lock().expect("seeds").next();
+                let Some(seed) = seed else {
+                    return;
+                };
+                let report = run_seed(seed);
+                println!("{report}");
+                reports.lock().expect("reports").push(report);
+            }
+        })
+    };
+    let threads: Vec<_> = (0..SEEDS_AT_A_TIME).map(|_| play()).collect();
+    for thread in threads {
+        thread.join().expect("a run ends without a panic");
+    }
+    std::mem::take(&mut *reports.lock().expect("reports"))
+}
+
+fn run_seed(seed: u64) -> RunReport {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(play(Plan::draw(seed)))
+}
+
+async fn play(plan: Plan) -> RunReport {
+    let started = Instant::now();
+    let history = Arc::new(TaskHistory::new(plan.max_cores));
+    let deployment = Deployment::start(&plan, history.clone()).await;
+    let users = Users::new(&plan, deployment.clone(), history.clone());
+    let end_of_requests = started + LONGEST_RUN;
+    let requests = tokio::spawn(users.clone().send_requests(plan.clone(), end_of_requests));
+    let troubles = bring_about(&plan, &deployment).await;
+    tokio::time::sleep(AFTER_TROUBLES).await;
+    requests.abort();
+    users.wait_until_settled(Instant::now() + SETTLE_TIME).await;
+    // The last cancellations have to take effect, too.
+    tokio::time::sleep(plan.max_cancellation + plan.heartbeat_interval).await;
+    let confirmed = users.confirmed_cancellations();
+    let mut violations = history.violations();
+    violations.extend(users.violations());
+    violations.extend(history.cancelled_runs(&confirmed, plan.max_cancellation));
+    let mut report = RunReport {
+        seed: plan.seed,
+        violations,
+        failures: controller_failures(&deployment).await,
+        cancellations: confirmed.len(),
+        accepted: users.accepted_count(),
+        tasks: history.counts(&confirmed),
+        faults: deployment.links.fault_counts(),
+        kills: troubles.kills.load(Ordering::Relaxed),
+        pauses: troubles.pauses.load(Ordering::Relaxed),
+        refusals: troubles.refusals.load(Ordering::Relaxed),
+        duration: started.elapsed(),
+        plan,
+    };
+    report.failures.extend(missing_events(&report));
+    report
+}
+
+/// Faults that controllers have noticed themselves.
+async fn controller_failures(deployment: &Deployment) -> Vec<String> {
+    let mut failures = Vec::new();
+    for index in 0..CONTROLLERS {
+        if deployment.status_page(index).await.is_none() {
+            failures.push(format!("controller {index} does not answer"));
+        }
+        let log = deployment.cluster.lock().expect("cluster").log_of(index);
+        let is_fault =
+            |line: &&str| line.contains("invariant violated") || line.contains("panicked");
+        failures.extend(log.lines().filter(is_fault).map(str::to_owned));
+    }
+    failures
+}
+
+/// Why a run has checked too little.
+fn missing_events(report: &RunReport) -> Vec<String> {
+    let mut missing = Vec::new();
+    if report.cancellations == 0 {
+        missing.push("no cancellation was confirmed".to_owned());
+    }
+    if report.kills + report.pauses + report.refusals == 0 || report.faults.total() == 0 {
+        missing.push("no trouble happened".to_owned());
+    }
+    if report.tasks.leaders < 2 || report.tasks.stops == 0 {
+        missing.push("no leader changed, or no task was stopped".to_owned());
+    }
+    missing
+}
--- /dev/null
+++ b/tests/soak/users.rs
@@ -0,0 +1,418 @@
+//! Users, who submit, repeat, ask and cancel at all controllers, and note what they are told.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::Value;
+use valegap::transport::client::{Answer, HttpClient};
+
+use crate::deployment::Deployment;
+use crate::history::{TaskHistory, Violation};
+use crate::plan::Plan;
+use crate::support::cluster::submission;
+use crate::support::worker::register_service;
+
+/// How long a user waits for an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The pause before a user repeats a request.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The pause between two requests of all users, in milliseconds.
+const REQUEST_PAUSE_MS: std::ops::Range<u64> = 50..350;
+/// Each seed has its own job ids; they have six digits.
+const JOBS_PER_SEED: u64 = 1_000;
+const SEEDS_WITH_OWN_IDS: u64 = 1_000;
+/// Keeps the users' random numbers apart from those of the plan.
+const USERS_STREAM: u64 = 0x7573_6572;
+/// The share of a machine's cores that services take at the start.
+const SERVICE_CORES_PER_MACHINE: usize = 2;
+/// The share of a machine's four cores up to which users submit services.
+const MAX_SERVICE_CORES_PER_MACHINE: usize = 2;
+const MAX_SERVICE_TASKS: u32 = 4;
+/// How many jobs users cancel in a burst.
+const CANCELLATIONS_PER_BURST: usize = 4;
+/// More tasks in each job of a run with many machines.
+const LARGE_JOB_FACTOR: u32 = 10;
+const MANY_MACHINES: usize = 100;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JobKind {
+    Service,
+    Batch,
+}
+
+/// What users know of one job.
+#[derive(Debug, Clone)]
+pub(crate) struct JobFacts {
+    pub(crate) kind: JobKind,
+    pub(crate) tasks: u32,
+    body: Value,
+    pub(crate) is_accepted: bool,
+    pub(crate) cancel_requested: bool,
+    /// The final stage that a user was first told, and when.
+    pub(crate) told_final: Option<(String, Instant)>,
+}
+
+impl JobFacts {
+    fn is_open(&self) -> bool {
+        self.is_accepted && !self.cancel_requested && self.told_final.is_none()
+    }
+}
+
+/// A user's request.
+#[derive(Debug, Clone)]
+enum Request {
+    Submit(String),
+    Poll(String),
+    Cancel(String),
+}
+
+impl Request {
+    fn job(&self) -> &str {
+        let (Self::Submit(job) | Self::Poll(job) | Self::Cancel(job)) = self;
+        job
+    }
+}
+
+/// The users of a run.
+pub(crate) struct Users {
+    deployment: Arc<Deployment>,
+    history: Arc<TaskHistory>,
+    jobs: Mutex<BTreeMap<String, JobFacts>>,
+    violations: Mutex<Vec<Violation>>,
+    client: HttpClient,
+    first_job: u64,
+    job_factor: u32,
+    machines: usize,
+    has_quota: bool,
+}
+
+impl Users {
+    pub(crate) fn new(
+        plan: &Plan,
+        deployment: Arc<Deployment>,
+        history: Arc<TaskHistory>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            deployment,
+            history,
+            jobs: Mutex::default(),
+            violations: Mutex::default(),
+            client: HttpClient::new(),
+            first_job: plan.seed % SEEDS_WITH_OWN_IDS * JOBS_PER_SEED,
+            job_factor: match plan.machines {
+                MANY_MACHINES.. => LARGE_JOB_FACTOR,
+                _ => 1,
+            },
+            machines: plan.machines,
+            has_quota: plan.max_cores > 0,
+        })
+    }
+
+    /// Sends requests until `end`; the seed decides which.
+    pub(crate) async fn send_requests(self: Arc<Self>, plan: Plan, end: Instant) {
+        let mut rng = StdRng::seed_from_u64(plan.seed ^ USERS_STREAM);
+        let mut cores = 0;
+        while cores < plan.machines * SERVICE_CORES_PER_MACHINE {
+            let job = self.new_job(&mut rng, JobKind::Service);
+            cores += self.facts(&job).map_or(1, |facts| facts.tasks as usize);
+            self.spawn(&mut rng, Request::Submit(job), end);
+        }
+        let started = Instant::now();
+        let mut bursts = plan.cancellation_bursts.clone();
+        while Instant::now() < end {
+            let due = bursts.extract_if(.., |at| *at <= started.elapsed()).count();
+            for _ in 0..due * CANCELLATIONS_PER_BURST {
+                if let Some(job) = self.draw_job(&mut rng, JobFacts::is_open) {
+                    self.spawn(&mut rng, Request::Cancel(job), end);
+                }
+            }
+            if let Some(request) = self.draw_request(&mut rng) {
+                self.spawn(&mut rng, request, end);
+            }
+            let pause = rng.random_range(REQUEST_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    fn draw_request(&self, rng: &mut StdRng) -> Option<Request> {
+        match rng.random_range(0..20) {
+            0..4 if self.has_room_for_service() => {
+                Some(Request::Submit(self.new_job(rng, JobKind::Service)))
+            }
+            4 => Some(Request::Submit(self.new_job(rng, JobKind::Batch))),
+            5..8 => self.draw_job(rng, JobFacts::is_open).map(Request::Cancel),
+            8..11 => self.draw_job(rng, |f| f.is_accepted).map(Request::Submit),
+            11 => self
+                .draw_job(rng, |f| f.cancel_requested)
+                .map(Request::Cancel),
+            12 => Some(Request::Poll(self.job_id(JOBS_PER_SEED - 1))),
+            _ => self.draw_job(rng, |f| f.is_accepted).map(Request::Poll),
+        }
+    }
+
+    /// Whether all machines together have room for one service more, and for batch jobs.
+    fn has_room_for_service(&self) -> bool {
+        let jobs = self.jobs.lock().expect("jobs");
+        let is_service =
+            |facts: &&JobFacts| facts.kind == JobKind::Service && !facts.cancel_requested;
+        let tasks: u32 = jobs
+            .values()
+            .filter(is_service)
+            .map(|facts| facts.tasks)
+            .sum();
+        tasks as usize <= self.machines * MAX_SERVICE_CORES_PER_MACHINE
+    }
+
+    fn draw_job(&self, rng: &mut StdRng, is_wanted: impl Fn(&JobFacts) -> bool) -> Option<String> {
+        let jobs = self.jobs.lock().expect("jobs");
+        let wanted: Vec<&String> = jobs
+            .iter()
+            .filter(|(_, facts)| is_wanted(facts))
+            .map(|(id, _)| id)
+            .collect();
+        wanted.choose(rng).map(|id| (*id).clone())
+    }
+
+    fn job_id(&self, number: u64) -> String {
+        format!("run-{:06}", self.first_job + number)
+    }
+
+    fn new_job(&self, rng: &mut StdRng, kind: JobKind) -> String {
+        let mut jobs = self.jobs.lock().expect("jobs");
+        let id = self.job_id(jobs.len() as u64);
+        let (form, tasks) = match kind {
+            JobKind::Service => ("standing", rng.random_range(1..=MAX_SERVICE_TASKS)),
+            JobKind::Batch => ("batch", rng.random_range(1..8)),
+        };
+        let tasks = tasks * self.job_factor;
+        let mut body = submission(&id, form, tasks);
+        if rng.random_bool(0.3) {
+            body["Borrowed"] = Value::Bool(true);
+            self.history.allow_spot(&id);
+        }
+        if kind == JobKind::Service {
+            register_service(&id);
+        }
+        let facts = JobFacts {
+            kind,
+            tasks,
+            body,
+            is_accepted: false,
+            cancel_requested: false,
+            told_final: None,
+        };
+        jobs.insert(id.clone(), facts);
+        id
+    }
+
+    fn facts(&self, job: &str) -> Option<JobFacts> {
+        self.jobs.lock().expect("jobs").get(job).cloned()
+    }
+
+    /// Sends a request and repeats it, each time to any controller, until it has its answer.
+    fn spawn(self: &Arc<Self>, rng: &mut StdRng, request: Request, end: Instant) {
+        let mut rng = StdRng::seed_from_u64(rng.random());
+        let users = self.clone();
+        tokio::spawn(async move {
+            while Instant::now() < end {
+                let index = rng.random_range(0..users.deployment.user_addresses.len());
+                if users.send(&request, index).await {
+                    return;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        });
+    }
+
+    /// Sends a request to a controller; returns whether it got its answer.
+    async fn send(&self, request: &Request, index: usize) -> bool {
+        if let Request::Cancel(job) = request {
+            let mut jobs = self.jobs.lock().expect("jobs");
+            if let Some(facts) = jobs.get_mut(job) {
+                facts.cancel_requested = true;
+            }
+        }
+        let known = self.facts(request.job());
+        let (method, path, body) = match request {
+            Request::Submit(_) => {
+                let body = known
+                    .as_ref()
+                    .map_or(Value::Null, |facts| facts.body.clone());
+                let body = body.to_string().into_bytes();
+                (Method::POST, "/v1/jobs".to_owned(), body)
+            }
+            Request::Poll(job) => (Method::GET, format!("/v1/jobs/{job}"), Vec::new()),
+            Request::Cancel(job) => (Method::POST, format!("/v1/jobs/{job}/cancel"), Vec::new()),
+        };
+        let address = self.deployment.user_addresses[index];
+        let call = self
+            .client
+            .call(method, address, &path, body, ANSWER_TIMEOUT);
+        let Ok(answer) = call.await else {
+            return false;
+        };
+        self.note_answer(request, known.as_ref(), &answer)
+    }
+
+    /// Checks an answer against what was known when the request was sent, and notes what it says.
+    fn note_answer(&self, request: &Request, known: Option<&JobFacts>, answer: &Answer) -> bool {
+        let job = request.job().to_owned();
+        let value: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let stage = value["Stage"].as_str().unwrap_or_default().to_owned();
+        let was_accepted = known.is_some_and(|facts| facts.is_accepted);
+        match answer.status {
+            StatusCode::OK | StatusCode::CREATED => {}
+            StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => {
+                if was_accepted {
+                    let answer = answer.status.to_string();
+                    self.report(Violation::Forgotten { job, answer });
+                }
+                return true;
+            }
+            _ => return false,
+        }
+        let Some(known) = known else {
+            self.report(Violation::Invented { job });
+            return true;
+        };
+        if let Some((before, _)) = &known.told_final
+            && *before != stage
+        {
+            self.report(Violation::WentBack {
+                job: job.clone(),
+                before: before.clone(),
+                after: stage.clone(),
+            });
+        }
+        if stage == "cancelled" && !self.facts(&job).is_some_and(|facts| facts.cancel_requested) {
+            self.report(Violation::WentBack {
+                job: job.clone(),
+                before: "not cancelled by its user".to_owned(),
+                after: stage.clone(),
+            });
+        }
+        self.note_stage(&job, known.tasks, &stage);
+        let is_final = stage == "cancelled" || stage == "done";
+        is_final || !matches!(request, Request::Cancel(_))
+    }
+
+    fn note_stage(&self, job: &str, tasks: u32, stage: &str) {
+        let now = Instant::now();
+        let mut jobs = self.jobs.lock().expect("jobs");
+        let Some(facts) = jobs.get_mut(job) else {
+            return;
+        };
+        facts.is_accepted = true;
+        if facts.told_final.is_some() || !matches!(stage, "done" | "cancelled") {
+            return;
+        }
+        facts.told_final = Some((stage.to_owned(), now));
+        if stage == "done" {
+            let not_done = self.history.tasks_not_done(job, tasks, now);
+            let violations = not_done.into_iter().map(|task| Violation::NotDone {
+                job: job.to_owned(),
+                task,
+            });
+            violations.for_each(|violation| self.report(violation));
+        }
+    }
+
+    fn report(&self, violation: Violation) {
+        self.violations.lock().expect("violations").push(violation);
+    }
+
+    pub(crate) fn violations(&self) -> Vec<Violation> {
+        self.violations.lock().expect("violations").clone()
+    }
+
+    /// By job, when its user was told that it is cancelled.
+    pub(crate) fn confirmed_cancellations(&self) -> BTreeMap<String, Instant> {
+        let jobs = self.jobs.lock().expect("jobs");
+        let confirmed = jobs.iter().filter_map(|(id, facts)| {
+            let (stage, at) = facts.told_final.as_ref()?;
+            (stage == "cancelled").then(|| (id.clone(), *at))
+        });
+        confirmed.collect()
+    }
+
+    pub(crate) fn accepted_count(&self) -> usize {
+        let jobs = self.jobs.lock().expect("jobs");
+        jobs.values().filter(|facts| facts.is_accepted).count()
+    }
+
+    /// Once the troubles are over: asks for each job until it is as it should be, at the latest until
+    /// `end`. A batch job is done, a service runs, and a job that its user wants to cancel is
+    /// cancelled or done. If the team has a limit, which its services may use up, they are cancelled
+    /// first.
+    pub(crate) async fn wait_until_settled(&self, end: Instant) {
+        if self.has_quota {
+            self.request_cancellation_of_services();
+        }
+        let jobs: Vec<String> = {
+            let jobs = self.jobs.lock().expect("jobs");
+            let accepted = jobs.iter().filter(|(_, facts)| facts.is_accepted);
+            accepted.map(|(id, _)| id.clone()).collect()
+        };
+        for (index, job) in jobs.iter().enumerate() {
+            let mut stage = "not answered".to_owned();
+            while !self.is_settled(job, index, &mut stage).await {
+                if Instant::now() > end {
+                    let job = job.clone();
+                    self.report(Violation::LeftWaiting { job, stage });
+                    break;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    fn request_cancellation_of_services(&self) {
+        let mut jobs = self.jobs.lock().expect("jobs");
+        let services = jobs
+            .values_mut()
+            .filter(|facts| facts.kind == JobKind::Service);
+        services.for_each(|facts| facts.cancel_requested = true);
+    }
+
+    async fn is_settled(&self, job: &str, index: usize, stage: &mut String) -> bool {
+        let Some(facts) = self.facts(job) else {
+            return true;
+        };
+        let index = index % self.deployment.user_addresses.len();
+        if facts.cancel_requested {
+            let request = Request::Cancel(job.to_owned());
+            return facts.told_final.is_some() || self.send(&request, index).await;
+        }
+        let request = Request::Poll(job.to_owned());
+        self.send(&request, index).await;
+        if facts.kind == JobKind::Batch {
+            *stage = "not done".to_owned();
+            return self
+                .facts(job)
+                .is_some_and(|facts| facts.told_final.is_some());
+        }
+        *stage = "not running".to_owned();
+        self.running_count(job, index).await >= facts.tasks as u64
+    }
+
+    async fn running_count(&self, job: &str, index: usize) -> u64 {
+        let address = self.deployment.user_addresses[index];
+        let path = format!("/v1/jobs/{job}");
+        let call = self
+            .client
+            .call(Method::GET, address, &path, Vec::new(), ANSWER_TIMEOUT);
+        let answer = call
+            .await
+            .ok()
+            .filter(|answer| answer.status == StatusCode::OK);
+        let value = answer.and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
+        value
+            .and_then(|value| value["running"].as_u64())
+            .unwrap_or(0)
+    }
+}
--- a/tests/trial/support/cloud.rs
+++ b/tests/support/cloud.rs
@@ -14,19 +14,24 @@
 use tokio::task::JoinHandle;
 use valegap::protocol::cloud::{MachineNames, Rental};
 
-use super::worker::{self, WorkerSettings};
+use super::worker::{self, SharedMachine, WorkerSettings};
 
-/// How many machines can be rented at the same time.
-const MAX_RENTED_MACHINES: usize = 4;
+/// How long a machine takes to boot.
+const BOOT_TIME: Duration = Duration::from_millis(300);
 
 #[derive(Clone)]
 struct Cloud {
-    workers: Arc<WorkerSettings>,
+    /// The settings of the workers. The machines use them in turn.
+    workers: Arc<Vec<Arc<WorkerSettings>>>,
+    /// How many machines can be rented at the same time.
+    capacity: usize,
     state: Arc<Mutex<CloudState>>,
 }
 
 struct RentedMachine {
     zone: String,
+    spot: bool,
+    machine: SharedMachine,
     worker: JoinHandle<()>,
 }
 
@@ -41,10 +46,12 @@
     granted: BTreeMap<String, Vec<String>>,
 }
 
-/// The HTTP routes of a cloud whose machines' workers have these settings.
-pub(crate) fn router(workers: WorkerSettings) -> Router {
+/// The HTTP routes of a cloud that rents up to `capacity` machines, whose workers have these settings
+/// in turn.
+pub(crate) fn router(workers: Vec<WorkerSettings>, capacity: usize) -> Router {
     let cloud = Cloud {
-        workers: Arc::new(workers),
+        workers: Arc::new(workers.into_iter().map(Arc::new).collect()),
+        capacity,
         state: Arc::default(),
     };
     Router::new()
@@ -67,21 +74,21 @@
     if let Some(names) = state.granted.get(&rental.request) {
         return Json(json!({ "Stands": names })).into_response();
     }
-    let available = MAX_RENTED_MACHINES.saturating_sub(state.machines.len());
+    let available = cloud.capacity.saturating_sub(state.machines.len());
     let mut names = Vec::new();
     for _ in 0..available.min(rental.count as usize) {
         state.last_machine_number += 1;
         let name = format!("vm-{:06}", state.last_machine_number);
-        let settings = cloud.workers.clone();
-        let (machine_id, spot) = (name.clone(), rental.spot);
-        let worker = tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(300)).await;
-            worker::run(machine_id, spot, settings).await;
-        });
+        let turn = state.last_machine_number as usize % cloud.workers.len();
+        let settings = cloud.workers[turn].clone();
+        let machine = worker::new_machine(&name, rental.spot, settings.clone());
+        let worker = tokio::spawn(boot(machine.clone(), settings));
         state.machines.insert(
             name.clone(),
             RentedMachine {
                 zone: rental.zone.clone(),
+                spot: rental.spot,
+                machine,
                 worker,
             },
         );
@@ -95,6 +102,11 @@
     Json(json!({ "Stands": names })).into_response()
 }
 
+async fn boot(machine: SharedMachine, settings: Arc<WorkerSettings>) {
+    tokio::time::sleep(BOOT_TIME).await;
+    worker::run(machine, settings).await;
+}
+
 async fn list(State(cloud): State<Cloud>) -> Json<Value> {
     let state = cloud.state.lock().expect("cloud");
     let machines: Vec<Value> = state
@@ -102,7 +114,7 @@
         .iter()
         .map(|(name, machine)| {
             json!({ "NameId": name, "Addr": "", "Instrument": "m4", "Hall": machine.zone,
-                    "Borrowed": false, "Stage": "running", "HeldS": 5.0 })
+                    "Borrowed": machine.spot, "Stage": "running", "HeldS": 5.0 })
         })
         .collect();
     Json(json!({ "Stands": machines, "HasNext": false }))
@@ -112,6 +124,7 @@
     let mut state = cloud.state.lock().expect("cloud");
     for name in names.machines {
         if let Some(machine) = state.machines.remove(&name) {
+            worker::delete(&machine.machine);
             machine.worker.abort();
         }
     }
--- a/tests/trial/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -27,6 +27,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 const WORKER_LEASE_S: f64 = 10.0;
 const CLOCK_SKEW_MS: f64 = 10.0;
+/// How many machines can be rented at the same time.
+const MAX_RENTED_MACHINES: usize = 4;
 
 /// A controller's process. Dropping this value kills the process.
 pub(crate) struct Controller {
@@ -91,18 +93,16 @@
                 internal_address: unused_address(),
             })
             .collect();
-        for node_id in &node_ids {
-            let _ = std::fs::remove_file(log_path(node_id));
-        }
+        node_ids.iter().for_each(|node_id| remove_log(node_id));
         let mut kv = Vec::new();
         for index in 0..node_ids.len() {
             kv.push(support::serve(support::kv::routes_for(store.clone(), index)).await);
         }
-        let workers = WorkerSettings {
-            controllers: node_ids.iter().cloned().zip(public_addresses).collect(),
-            lease: Duration::from_secs_f64(worker_lease_s),
-        };
-        let cloud = support::serve(support::cloud::router(workers)).await;
+        let controllers = node_ids.iter().cloned().zip(public_addresses).collect();
+        let lease = Duration::from_secs_f64(worker_lease_s);
+        let workers = WorkerSettings::new(controllers, lease);
+        let cloud = support::cloud::router(vec![workers], MAX_RENTED_MACHINES);
+        let cloud = support::serve(cloud).await;
         let settings = |index: usize| ControllerSettings {
             public_address: public_addresses[index],
             internal_address: peers[index].internal_address,
@@ -114,17 +114,47 @@
             cloud,
             kv: kv[index],
             worker_lease_s,
+            max_cancellation_s: worker_lease_s * 2.0,
             clock_skew_ms: CLOCK_SKEW_MS,
             ..ControllerSettings::new(&node_ids[index])
         };
+        Self::start_with((0..3).map(settings).collect())
+    }
+
+    /// Starts a controller with each of these settings.
+    pub(crate) fn start_with(settings: Vec<ControllerSettings>) -> Self {
         Self {
-            controllers: (0..3)
-                .map(|index| Controller::start(settings(index)))
-                .collect(),
+            controllers: settings.into_iter().map(Controller::start).collect(),
             client: HttpClient::new(),
         }
     }
 
+    /// The id of a controller's process; `None` if the process has ended.
+    pub(crate) fn running_process(&mut self, index: usize) -> Option<u32> {
+        let process = &mut self.controllers[index].process;
+        let has_ended = !matches!(process.try_wait(), Ok(None));
+        (!has_ended).then(|| process.id())
+    }
+
+    /// The log of a controller, of all its processes.
+    pub(crate) fn log_of(&self, index: usize) -> String {
+        let node_id = &self.controllers[index].settings.node_id;
+        std::fs::read_to_string(log_path(node_id)).unwrap_or_default()
+    }
+
+    /// Kills a controller. [`Self::start_again`] starts it again.
+    pub(crate) fn stop(&mut self, index: usize) {
+        let process = &mut self.controllers[index].process;
+        let _ = process.kill();
+        let _ = process.wait();
+    }
+
+    /// Starts a stopped controller with the same settings.
+    pub(crate) fn start_again(&mut self, index: usize) {
+        let settings = self.controllers[index].settings.clone();
+        self.controllers[index] = Controller::start(settings);
+    }
+
     /// The number of running controllers.
     pub(crate) fn size(&self) -> usize {
         self.controllers.len()
@@ -269,7 +299,7 @@
 }
 
 /// Panics if two tests use the same prefix of node ids, by which settings files are named.
-fn claim_prefix(node_id_prefix: &str) {
+pub(crate) fn claim_prefix(node_id_prefix: &str) {
     static CLAIMED: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
     let mut claimed = CLAIMED.lock().expect("prefixes");
     assert!(
@@ -284,7 +314,7 @@
 const CONTROLLER_PORTS: std::ops::Range<u16> = 10_000..30_000;
 
 /// An address on which nothing listens. No address is returned twice in one run of the tests.
-fn unused_address() -> SocketAddr {
+pub(crate) fn unused_address() -> SocketAddr {
     static HANDED_OUT: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     let mut handed_out = HANDED_OUT.lock().expect("ports");
     loop {
@@ -302,6 +332,11 @@
     lines[lines.len().saturating_sub(LOG_LINES_SHOWN)..].join("\n")
 }
 
+/// Removes the log that earlier processes of a controller left.
+pub(crate) fn remove_log(node_id: &str) {
+    let _ = std::fs::remove_file(log_path(node_id));
+}
+
 fn log_path(node_id: &str) -> PathBuf {
     [env!("CARGO_TARGET_TMPDIR"), &format!("{node_id}.log")]
         .iter()
--- a/tests/trial/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,9 +1,13 @@
 //! Simulations of the services around the controllers (cloud, key-value store and workers), served
-//! on loopback, and a cluster of controller processes that uses them.
+//! on loopback, a cluster of controller processes that uses them, and a proxy that injects faults.
+//! Several test crates include this module, and each uses a part of it.
+
+#![allow(dead_code, reason = "each test crate uses a part")]
 
 pub(crate) mod cloud;
 pub(crate) mod cluster;
 pub(crate) mod kv;
+pub(crate) mod proxy;
 pub(crate) mod refusal;
 pub(crate) mod worker;
 
--- a/tests/trial/support/worker.rs
+++ b/tests/support/worker.rs
@@ -16,6 +16,7 @@
 use axum::routing::post;
 use hyper::Method;
 use tokio::net::TcpListener;
+
 use valegap::protocol::TaskId;
 use valegap::protocol::workers::{
     AttemptOutcome, Command, CommandBatch, HeartbeatResponse, Redirect, TaskState, TaskStatus,
@@ -23,7 +24,13 @@
 };
 use valegap::transport::client::HttpClient;
 
+use super::proxy::Link;
+
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// How often a worker checks whether its lease has expired and whether tasks are done.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How long a worker waits for the answer to a heartbeat.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long every task runs. The tasks of a service end after this time, too, unless the service is
 /// cancelled before.
 const TASK_DURATION: Duration = Duration::from_millis(1500);
@@ -75,6 +82,50 @@
     pub(crate) controllers: Vec<(String, SocketAddr)>,
     /// How long tasks run after the sending of the last heartbeat that was answered.
     pub(crate) lease: Duration,
+    pub(crate) heartbeat_interval: Duration,
+    /// The link on which leaders send commands to the worker; `None` if they reach it directly.
+    pub(crate) command_link: Option<Link>,
+    /// Learns what happens on the workers' machines.
+    pub(crate) observer: Option<Arc<dyn WorkerObserver>>,
+}
+
+impl WorkerSettings {
+    /// The settings of workers without faults and without an observer.
+    pub(crate) fn new(controllers: Vec<(String, SocketAddr)>, lease: Duration) -> Self {
+        Self {
+            controllers,
+            lease,
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            command_link: None,
+            observer: None,
+        }
+    }
+}
+
+/// Learns what happens on the workers' machines.
+pub(crate) trait WorkerObserver: Send + Sync {
+    /// A task began to run on a machine.
+    fn task_started(&self, machine: &MachineKind, task: &TaskId, attempt: u64);
+    /// A task is gone from its machine since this moment; `None` if its lease or its machine ended.
+    fn task_ended(
+        &self,
+        machine: &MachineKind,
+        task: &TaskId,
+        attempt: u64,
+        at: Instant,
+        outcome: Option<AttemptOutcome>,
+    );
+    /// The worker has seen a fencing token.
+    fn token_seen(&self, fencing_token: FencingToken);
+    /// The worker stopped a task by a command.
+    fn stop_executed(&self);
+}
+
+/// A machine as its observer knows it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct MachineKind {
+    pub(crate) id: String,
+    pub(crate) spot: bool,
 }
 
 /// Records that a task of a gang is launched. The gang starts when its last task is launched. Does
@@ -111,10 +162,12 @@
 }
 
 /// The state of a worker and its machine.
-struct Machine {
-    id: String,
-    spot: bool,
+pub(crate) struct Machine {
+    kind: MachineKind,
     addr: String,
+    observer: Option<Arc<dyn WorkerObserver>>,
+    /// Whether the cloud has deleted the machine.
+    is_deleted: bool,
     /// The number of the last heartbeat.
     sequence: u64,
     /// The highest fencing token of a leader that the worker has seen.
@@ -137,17 +190,26 @@
     /// If the lease has expired, kills all tasks and begins the next agent epoch.
     fn expire_lease(&mut self) {
         if self.lease_renewed_at.elapsed() > self.lease {
-            self.tasks.clear();
+            self.kill_tasks(self.lease_renewed_at + self.lease);
             self.agent_epoch += 1;
             self.sequence = 0;
             self.lease_renewed_at = Instant::now();
         }
     }
 
-    /// Ends the tasks that have run for [`TASK_DURATION`], and returns the next heartbeat.
-    fn heartbeat(&mut self) -> WorkerHeartbeat {
-        self.expire_lease();
-        self.sequence += 1;
+    /// Removes all tasks, which have been gone from the machine since `at`.
+    fn kill_tasks(&mut self, at: Instant) {
+        for ((task, attempt), task_attempt) in std::mem::take(&mut self.tasks) {
+            if let Some(observer) = &self.observer
+                && task_attempt.outcome.is_none()
+            {
+                observer.task_ended(&self.kind, &task, attempt, at, None);
+            }
+        }
+    }
+
+    /// Ends the tasks that have run for [`TASK_DURATION`].
+    fn complete_tasks(&mut self) {
         let services = SERVICES.lock().expect("services");
         for ((task, attempt), task_attempt) in &mut self.tasks {
             if services.contains(&*task.job) {
@@ -159,15 +221,27 @@
                 GangStart::StartedAt(started_at) => started_at,
             };
             if task_attempt.outcome.is_none() && started_at.elapsed() >= TASK_DURATION {
-                task_attempt.outcome = Some(AttemptOutcome::Done);
+                let outcome = AttemptOutcome::Done;
+                task_attempt.outcome = Some(outcome);
+                if let Some(observer) = &self.observer {
+                    let now = Instant::now();
+                    observer.task_ended(&self.kind, task, *attempt, now, Some(outcome));
+                }
             }
         }
+    }
+
+    /// Returns the next heartbeat.
+    fn heartbeat(&mut self) -> WorkerHeartbeat {
+        self.expire_lease();
+        self.complete_tasks();
+        self.sequence += 1;
         WorkerHeartbeat {
-            machine: self.id.clone(),
+            machine: self.kind.id.clone(),
             addr: self.addr.clone(),
             machine_type: "m4".into(),
             zone: "north".into(),
-            spot: self.spot,
+            spot: self.kind.spot,
             agent_epoch: self.agent_epoch,
             sequence: self.sequence,
             fencing_token: self.fencing_token,
@@ -198,11 +272,7 @@
                     record_gang_task(&task, attempt);
                     self.launch(task, attempt);
                 }
-                Command::Stop { task, attempt, .. } => {
-                    if let Some(task_attempt) = self.tasks.get_mut(&(task, attempt)) {
-                        task_attempt.outcome.get_or_insert(AttemptOutcome::Stopped);
-                    }
-                }
+                Command::Stop { task, attempt, .. } => self.stop(&task, attempt),
                 Command::Clear { task, attempt } => {
                     self.tasks.remove(&(task, attempt));
                 }
@@ -212,21 +282,57 @@
 }
 
 impl Machine {
-    /// Starts an attempt, unless the worker has it already.
+    /// Starts an attempt, unless the worker has it already. Refuses it if another attempt of the task
+    /// runs.
     fn launch(&mut self, task: TaskId, attempt: u64) {
-        let job = task.job.to_string();
-        if let Entry::Vacant(entry) = self.tasks.entry((task, attempt)) {
-            entry.insert(TaskAttempt {
-                launched_at: Instant::now(),
-                outcome: None,
-            });
-            let mut launches = LAUNCHES.lock().expect("launches");
-            *launches.entry(job).or_default() += 1;
+        let (job, started) = (task.job.to_string(), task.clone());
+        let is_live = |((other, _), existing): (&(TaskId, u64), &TaskAttempt)| {
+            *other == task && existing.outcome.is_none()
+        };
+        let is_busy = self.tasks.iter().any(is_live);
+        let Entry::Vacant(entry) = self.tasks.entry((task, attempt)) else {
+            return;
+        };
+        entry.insert(TaskAttempt {
+            launched_at: Instant::now(),
+            outcome: is_busy.then_some(AttemptOutcome::Busy),
+        });
+        if is_busy {
+            return;
+        }
+        let mut launches = LAUNCHES.lock().expect("launches");
+        *launches.entry(job).or_default() += 1;
+        if let Some(observer) = &self.observer {
+            observer.task_started(&self.kind, &started, attempt);
+        }
+    }
+
+    /// Ends an attempt at once, unless it has ended.
+    fn stop(&mut self, task: &TaskId, attempt: u64) {
+        let Some(task_attempt) = self.tasks.get_mut(&(task.clone(), attempt)) else {
+            return;
+        };
+        if task_attempt.outcome.is_some() {
+            return;
+        }
+        let outcome = AttemptOutcome::Stopped;
+        task_attempt.outcome = Some(outcome);
+        if let Some(observer) = &self.observer {
+            observer.stop_executed();
+            observer.task_ended(&self.kind, task, attempt, Instant::now(), Some(outcome));
+        }
+    }
+
+    /// Adopts a fencing token that is not lower than the highest one seen.
+    fn adopt_token(&mut self, fencing_token: FencingToken) {
+        self.fencing_token = fencing_token;
+        if let Some(observer) = &self.observer {
+            observer.token_seen(fencing_token);
         }
     }
 }
 
-type SharedMachine = Arc<Mutex<Machine>>;
+pub(crate) type SharedMachine = Arc<Mutex<Machine>>;
 
 /// Executes the commands that a leader sends directly. Refuses them with 409 if their fencing token
 /// is older than one that the worker has seen, or if they are for another agent epoch.
@@ -235,11 +341,14 @@
     Json(batch): Json<CommandBatch>,
 ) -> Response {
     let mut machine = machine.lock().expect("machine");
+    if machine.is_deleted {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     machine.expire_lease();
     let accepted =
         batch.fencing_token >= machine.fencing_token && batch.agent_epoch == machine.agent_epoch;
     if accepted {
-        machine.fencing_token = batch.fencing_token;
+        machine.adopt_token(batch.fencing_token);
         machine.execute(batch.commands);
     }
     let status = if accepted {
@@ -250,28 +359,64 @@
     (status, Json(machine.heartbeat())).into_response()
 }
 
-/// Runs a worker until its machine is deleted.
-pub(crate) async fn run(id: String, spot: bool, settings: Arc<WorkerSettings>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let addr = listener.local_addr().expect("an address").to_string();
-    let machine: SharedMachine = Arc::new(Mutex::new(Machine {
-        id,
-        spot,
-        addr,
+/// A machine whose worker has not begun to run.
+pub(crate) fn new_machine(id: &str, spot: bool, settings: Arc<WorkerSettings>) -> SharedMachine {
+    Arc::new(Mutex::new(Machine {
+        kind: MachineKind {
+            id: id.to_owned(),
+            spot,
+        },
+        addr: String::new(),
+        observer: settings.observer.clone(),
+        is_deleted: false,
         sequence: 0,
         fencing_token: FencingToken::default(),
         agent_epoch: 1,
         lease: settings.lease,
         lease_renewed_at: Instant::now(),
         tasks: BTreeMap::new(),
-    }));
+    }))
+}
+
+/// Ends all tasks of a machine that the cloud deletes. Its worker executes no command any more.
+pub(crate) fn delete(machine: &SharedMachine) {
+    let mut machine = machine.lock().expect("machine");
+    machine.is_deleted = true;
+    machine.expire_lease();
+    machine.kill_tasks(Instant::now());
+}
+
+/// Runs a worker until its machine is deleted.
+pub(crate) async fn run(machine: SharedMachine, settings: Arc<WorkerSettings>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let own_addr = listener.local_addr().expect("an address");
+    let addr = match &settings.command_link {
+        Some(link) => link.serve(own_addr).await,
+        None => own_addr,
+    };
+    {
+        let mut machine = machine.lock().expect("machine");
+        machine.addr = addr.to_string();
+        machine.lease_renewed_at = Instant::now();
+    }
     let router = Router::new()
         .route("/commands", post(handle_commands))
         .with_state(machine.clone());
-    let heartbeats = send_heartbeats(machine, settings);
+    let heartbeats = send_heartbeats(machine.clone(), settings);
     tokio::select! {
         served = async { axum::serve(listener, router).await } => served.expect("serving"),
         () = heartbeats => {}
+        () = advance(machine) => {}
+    }
+}
+
+/// Ends tasks when they are done and when the lease has expired.
+async fn advance(machine: SharedMachine) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let mut machine = machine.lock().expect("machine");
+        machine.expire_lease();
+        machine.complete_tasks();
     }
 }
 
@@ -292,7 +437,7 @@
                 controllers[current].1,
                 "/v1/report",
                 body,
-                Duration::from_secs(2),
+                ANSWER_TIMEOUT,
             )
             .await;
         let mut next = (current + 1) % controllers.len();
@@ -301,10 +446,11 @@
                 let answer: HeartbeatResponse =
                     serde_json::from_slice(&answer.body).expect("a heartbeat's answer");
                 let mut machine = machine.lock().expect("machine");
+                machine.expire_lease();
                 let is_of_epoch = heartbeat.agent_epoch == machine.agent_epoch;
                 if is_of_epoch && answer.fencing_token >= machine.fencing_token {
                     machine.lease_renewed_at = machine.lease_renewed_at.max(sent);
-                    machine.fencing_token = answer.fencing_token;
+                    machine.adopt_token(answer.fencing_token);
                     machine.execute(answer.commands);
                 }
                 next = current;
@@ -319,6 +465,6 @@
             }
         }
         current = next;
-        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+        tokio::time::sleep(settings.heartbeat_interval).await;
     }
 }
--- a/tests/trial/main.rs
+++ b/tests/trial/main.rs
@@ -12,6 +12,7 @@
 #[path = "../support/settings.rs"]
 mod settings;
 mod store_outage;
+#[path = "../support/mod.rs"]
 mod support;
 mod upgrade;
 mod user_requests;
