Name the proof for each removal of an attempt

What a leader forgets is where a task can run on unseen, and the reason stood in comments. Each removal now states its proof as a value (RemovalProof: no longer listed, ended before the answer, never sent, agent epoch ended, machine deleted), which a debug line logs with the attempt's phase.

--- a/src/coordination/shard/autoscaler/scale_in.rs
+++ b/src/coordination/shard/autoscaler/scale_in.rs
@@ -9,6 +9,7 @@
 use super::capacity::Capacity;
 use super::machine_kind::{CLOUD_RETRY_DELAY, MIN_BILLED_TIME, MachineKind, usual_boot_time};
 use super::view::AutoscalerView;
+use crate::coordination::shard::reconciler::RemovalProof;
 use crate::coordination::shard::{Action, Machine, Shard};
 use crate::protocol::MachineId;
 
@@ -131,7 +132,7 @@
 
     /// Removes a machine that no longer exists, and all attempts on it.
     fn remove_deleted(&mut self, id: &MachineId, now: Instant) {
-        self.empty_machine(id, now);
+        self.empty_machine(id, RemovalProof::MachineDeleted, now);
         if let Some(machine) = self.machines.remove(id) {
             self.remove_from_roster(id);
             // The cloud has one more machine of this kind available.
--- a/src/coordination/shard/dispatch/answers.rs
+++ b/src/coordination/shard/dispatch/answers.rs
@@ -7,6 +7,7 @@
 
 use crate::coordination::shard::autoscaler::DeletionReason;
 use crate::coordination::shard::machines::HeartbeatNumber;
+use crate::coordination::shard::reconciler::RemovalProof;
 use crate::coordination::shard::{Attempt, CommandOutcome, Machine, Phase, Shard};
 use crate::protocol::workers::Command;
 use crate::protocol::{AttemptId, MachineId};
@@ -75,7 +76,12 @@
             .filter(is_unlisted)
             .collect();
         for attempt_id in unlisted {
-            self.remove_attempt(machine_id, &attempt_id, now);
+            self.remove_attempt(
+                machine_id,
+                &attempt_id,
+                RemovalProof::EndedBeforeAnswer,
+                now,
+            );
         }
     }
 }
--- a/src/coordination/shard/dispatch/lease_expiry.rs
+++ b/src/coordination/shard/dispatch/lease_expiry.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use crate::coordination::shard::Shard;
+use crate::coordination::shard::reconciler::RemovalProof;
 use crate::protocol::MachineId;
 
 impl Shard {
@@ -21,7 +22,7 @@
                 machine.epochs.end_current();
                 tracing::info!(machine = %machine_id, "worker lease expired");
             }
-            self.empty_machine(&machine_id, known_at);
+            self.empty_machine(&machine_id, RemovalProof::EpochEnded, known_at);
         }
     }
 
--- a/src/coordination/shard/dispatch/mod.rs
+++ b/src/coordination/shard/dispatch/mod.rs
@@ -20,6 +20,7 @@
 
 use std::time::Instant;
 
+use super::reconciler::RemovalProof;
 use super::{Machine, Shard};
 use crate::protocol::{AttemptId, MachineId};
 
@@ -34,7 +35,7 @@
             .flat_map(withdrawable_launches)
             .collect();
         for (machine_id, attempt_id) in withdrawn {
-            self.remove_attempt(&machine_id, &attempt_id, now);
+            self.remove_attempt(&machine_id, &attempt_id, RemovalProof::NeverSent, now);
         }
     }
 
--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -15,6 +15,7 @@
 mod unreconciled;
 
 pub use recovery::{RecoveredMachine, RecoveredState};
+pub(super) use removal::RemovalProof;
 pub(super) use unreconciled::UnreconciledMachines;
 
 use std::time::{Duration, Instant};
@@ -204,7 +205,7 @@
             tracing::info!(machine = %machine_id, agent_epoch = heartbeat.agent_epoch, "worker began a new agent epoch");
             // The machine stays unreconciled if it is, since an earlier leader may have
             // started tasks in the new epoch.
-            self.remove_attempts(machine_id, now);
+            self.remove_attempts(machine_id, RemovalProof::EpochEnded, now);
         }
         true
     }
--- a/src/coordination/shard/reconciler/removal.rs
+++ b/src/coordination/shard/reconciler/removal.rs
@@ -5,6 +5,22 @@
 use crate::coordination::shard::{Placement, Shard};
 use crate::protocol::{AttemptId, MachineId};
 
+/// Why an attempt can't exist on its machine any more, nor start there later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(in crate::coordination::shard) enum RemovalProof {
+    /// A heartbeat with this leader's fencing token lacks the attempt, which an earlier one listed.
+    NoLongerListed,
+    /// The worker executed the only launch, and its answer doesn't list the attempt.
+    EndedBeforeAnswer,
+    /// No launch of the attempt was ever sent.
+    NeverSent,
+    /// The worker's agent epoch has ended, by a heartbeat of a later one or since its lease has
+    /// certainly expired: it has killed its tasks, and refuses commands for that epoch.
+    EpochEnded,
+    /// The cloud has confirmed the machine's deletion.
+    MachineDeleted,
+}
+
 impl Shard {
     /// Removes an attempt that can no longer exist, with its placement unless the attempt has ended,
     /// which removed it already.
@@ -12,6 +28,7 @@
         &mut self,
         machine_id: &MachineId,
         attempt_id: &AttemptId,
+        proof: RemovalProof,
         now: Instant,
     ) {
         let Some(machine) = self.machines.get_mut(machine_id) else {
@@ -20,6 +37,14 @@
         let Some(attempt) = machine.attempts.remove(attempt_id) else {
             return;
         };
+        tracing::debug!(
+            machine = %machine_id,
+            task = %attempt_id.task,
+            attempt = attempt_id.number,
+            phase = ?attempt.phase,
+            reason = ?proof,
+            "attempt forgotten"
+        );
         machine.note_idle_if_unused(now);
         if !attempt.ended() {
             self.remove_placement(machine_id, attempt_id);
@@ -52,9 +77,10 @@
     pub(in crate::coordination::shard) fn empty_machine(
         &mut self,
         machine_id: &MachineId,
+        proof: RemovalProof,
         now: Instant,
     ) {
-        self.remove_attempts(machine_id, now);
+        self.remove_attempts(machine_id, proof, now);
         self.mark_reconciled(machine_id);
         self.needs_pass = true;
     }
@@ -75,6 +101,7 @@
     pub(in crate::coordination::shard) fn remove_attempts(
         &mut self,
         machine_id: &MachineId,
+        proof: RemovalProof,
         now: Instant,
     ) {
         let attempt_ids: Vec<AttemptId> = match self.machines.get(machine_id) {
@@ -82,7 +109,7 @@
             None => return,
         };
         for attempt_id in attempt_ids {
-            self.remove_attempt(machine_id, &attempt_id, now);
+            self.remove_attempt(machine_id, &attempt_id, proof, now);
         }
     }
 }
--- a/src/coordination/shard/reconciler/task_list.rs
+++ b/src/coordination/shard/reconciler/task_list.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::RemovalProof;
 use crate::coordination::shard::{Action, Attempt, Phase, Placement, Shard};
 use crate::protocol::workers::{TaskState, TaskStatus};
 use crate::protocol::{AttemptId, MachineId};
@@ -23,7 +24,7 @@
         }
         listed_ids.sort();
         for attempt_id in self.unlisted_attempts(machine_id, &listed_ids) {
-            self.remove_attempt(machine_id, &attempt_id, now);
+            self.remove_attempt(machine_id, &attempt_id, RemovalProof::NoLongerListed, now);
         }
     }
 
