--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -76,7 +76,8 @@
         };
         let is_open = |task: &TaskId| self.is_open_task(task);
         let renewal = LeaseRenewal::new(&permit, self.fencing_token, heartbeat, commands, is_open);
-        if is_reconciled {
+        // The list of a duplicate was reconciled before; its tasks may be forgotten since.
+        if is_reconciled && !is_duplicate {
             self.check_stops(&heartbeat.machine, &renewal);
         }
         HeartbeatOutcome::Renew(renewal)
--- a/src/coordination/shard/tests/random.rs
+++ b/src/coordination/shard/tests/random.rs
@@ -13,16 +13,41 @@
 /// The seeds for which the rules are checked, unless [`SEEDS_VARIABLE`] names others.
 const SEEDS: Range<u64> = 0..256;
 
+/// The seeds of the runs at a leader with few free connections.
+const BUSY_SEEDS: Range<u64> = 0..128;
+
 /// The environment variable that names other seeds, for long runs started by hand: `FIRST..END`.
 const SEEDS_VARIABLE: &str = "VALEGAP_RANDOM_SEEDS";
 
+/// The number of leaders that change in series at the end of a busy run.
+const LEADERS_IN_SERIES: u32 = 10;
 /// The number of events in one random run.
 const EVENTS_PER_RUN: u32 = 60;
 
 /// Runs a simulation of submissions, cancellations, leader crashes, and faults of machines and of
 /// the key-value store, all drawn from the simulation's random number generator.
 fn random_run(seed: u64) -> Simulation {
+    run_random_events(Simulation::new(seed))
+}
+
+/// The same at a leader with few free connections: batches of commands wait, most heartbeats go
+/// astray, and leaders change in series.
+fn busy_run(seed: u64) -> Simulation {
     let mut simulation = Simulation::new(seed);
+    simulation.faults.queueing = 0.3;
+    simulation.faults.misdirection = 0.6;
+    let mut simulation = run_random_events(simulation);
+    for _ in 0..LEADERS_IN_SERIES {
+        cancel_random_job(&mut simulation);
+        simulation.crash_leader();
+        simulation.elect_leader();
+        let term = Duration::from_millis(simulation.rng.random_range(1_000..14_000));
+        simulation.run(term);
+    }
+    simulation
+}
+
+fn run_random_events(mut simulation: Simulation) -> Simulation {
     simulation.elect_leader();
     let mut submitted = 0_u32;
     for _ in 0..EVENTS_PER_RUN {
@@ -153,6 +178,16 @@
     assert!(gangs > 100, "only {gangs} gangs started");
 }
 
+/// Guards against `ran_cancelled` and `ran_twice` where what a leader decided is sent much later or by
+/// its successor.
+#[test]
+fn no_rule_is_violated_while_batches_wait_and_leaders_change_in_series() {
+    for seed in BUSY_SEEDS {
+        let violations = busy_run(seed).violations;
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    }
+}
+
 #[test]
 fn all_jobs_finish_once_the_faults_end() {
     for seed in 100..112 {
--- a/src/coordination/shard/tests/simulation/delivery.rs
+++ b/src/coordination/shard/tests/simulation/delivery.rs
@@ -18,6 +18,7 @@
                 shard.heartbeat(&heartbeat, now);
             }),
             Message::HeartbeatAnswer(answer) => self.receive_heartbeat_answer(&answer),
+            Message::QueuedCommands(batch) => self.send_due_batch(batch),
             Message::Commands(batch) => self.receive_commands(batch),
             Message::CommandAnswer { batch, outcome } => {
                 self.receive_command_answer(&batch, outcome);
--- a/src/coordination/shard/tests/simulation/leader.rs
+++ b/src/coordination/shard/tests/simulation/leader.rs
@@ -1,7 +1,7 @@
 //! The simulated leader of the shard: failover, the events that it passes to the shard, and the
 //! execution of the actions that the shard decides.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 
@@ -13,6 +13,9 @@
 use crate::protocol::workers::WorkerHeartbeat;
 use crate::protocol::{FencingToken, MachineId};
 
+/// How long a batch waits before it is sent, in milliseconds.
+const QUEUE_WAIT_MS: std::ops::Range<u64> = 500..70_000;
+
 /// The current leader. Messages to an earlier incarnation do not reach it.
 pub(super) struct Leader {
     incarnation: u64,
@@ -142,7 +145,34 @@
         }
     }
 
+    /// Sends a batch that has waited, with the commands that are due by now.
+    pub(super) fn send_due_batch(&mut self, batch: CommandBatch) {
+        let now = self.now;
+        let machine: MachineId = batch.machine.as_str().into();
+        let mut due = None;
+        self.apply_to_incarnation(batch.leader, |shard| {
+            due = shard.due_batch(&machine, batch.number, now);
+        });
+        if let Some(due) = due {
+            self.transmit_commands(CommandBatch {
+                agent_epoch: due.agent_epoch,
+                commands: due.commands,
+                ..batch
+            });
+        }
+    }
+
     fn send_commands(&mut self, batch: CommandBatch) {
+        let may_wait = self.faults.queueing > 0.0 && !batch.commands.is_empty();
+        if may_wait && self.rng.random_bool(self.faults.queueing) {
+            let wait = Duration::from_millis(self.rng.random_range(QUEUE_WAIT_MS));
+            self.send_after(wait, Message::QueuedCommands(batch));
+        } else {
+            self.transmit_commands(batch);
+        }
+    }
+
+    fn transmit_commands(&mut self, batch: CommandBatch) {
         if self.rng.random_bool(self.faults.loss) {
             self.send_no_answer(batch);
         } else {
--- a/src/coordination/shard/tests/simulation/mod.rs
+++ b/src/coordination/shard/tests/simulation/mod.rs
@@ -57,6 +57,8 @@
     pub(super) long_delay: f64,
     /// Probability that a heartbeat goes to a controller that is not the leader.
     pub(super) misdirection: f64,
+    /// Probability that a batch of commands waits before the leader sends it.
+    pub(super) queueing: f64,
 }
 
 /// Counters by which a test shows that its runs have started tasks and gangs.
@@ -130,6 +132,7 @@
                 loss: 0.02,
                 long_delay: 0.02,
                 misdirection: 0.25,
+                queueing: 0.0,
             },
             counts: Counts::default(),
             violations: Vec::new(),
@@ -186,6 +189,7 @@
             loss: 0.0,
             long_delay: 0.0,
             misdirection: 0.0,
+            queueing: 0.0,
         };
         self.store.outage_until = None;
         self.store.leader_refused_until = None;
--- a/src/coordination/shard/tests/simulation/network.rs
+++ b/src/coordination/shard/tests/simulation/network.rs
@@ -81,6 +81,8 @@
     /// the duration of a lease. The answer to it reaches no worker.
     DuplicateHeartbeat(WorkerHeartbeat),
     HeartbeatAnswer(HeartbeatAnswer),
+    /// A batch that waits at its leader for a permit to be sent.
+    QueuedCommands(CommandBatch),
     Commands(CommandBatch),
     CommandAnswer {
         batch: CommandBatch,
