--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -93,6 +93,8 @@
     pub(crate) leaders: usize,
     /// Starts of tasks whose cancellation was confirmed before.
     pub(crate) starts_after_cancellation: usize,
+    /// Jobs of which a task was on a machine when their cancellation was confirmed.
+    pub(crate) jobs_cancelled_while_running: usize,
 }
 
 impl TaskHistory {
@@ -156,7 +158,16 @@
             let confirmed_at = confirmed.get(&*run.task.job);
             confirmed_at.is_some_and(|confirmed_at| run.started > *confirmed_at)
         };
+        let was_running = |run: &&TaskRun| {
+            let confirmed_at = confirmed.get(&*run.task.job);
+            confirmed_at.is_some_and(|confirmed_at| {
+                run.started <= *confirmed_at && run.ended.is_none_or(|ended| ended >= *confirmed_at)
+            })
+        };
+        let running = recorded.runs.iter().filter(was_running);
+        let running: BTreeSet<&str> = running.map(|run| &*run.task.job).collect();
         TaskCounts {
+            jobs_cancelled_while_running: running.len(),
             starts: recorded.runs.len(),
             stops: recorded.stops,
             leaders: recorded.tokens.len(),
