--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -9,15 +9,25 @@
 pub(crate) const WORKER_GROUPS: usize = 3;
 pub(crate) const CONTROLLERS: usize = 3;
 
-/// How long troubles may begin.
+/// When the last trouble begins, after the start of the run.
 const TROUBLE_WINDOW_MS: u64 = 20_000;
 /// How many troubles a run has, besides the leaders that change in series.
 const TROUBLES: std::ops::Range<usize> = 4..8;
 /// Each seed divisible by this has many machines.
 const MANY_MACHINES_EVERY: u64 = 10;
 const MANY_MACHINES: usize = 200;
-/// Each seed that gives this remainder has times at the edge of what the settings permit.
+/// One of this many seeds in a row has a time for cancelled tasks at the edge of what the settings
+/// permit: little more than a lease and the least bound on the age of cancellations.
 const EDGE_EVERY: u64 = 4;
+const EDGE_MAX_CANCELLATION_MS: u64 = 9_000;
+/// How long cancelled tasks may run in other seeds, in milliseconds.
+const MAX_CANCELLATION_MS: std::ops::Range<u64> = 10_400..11_400;
+const WORKER_LEASE: Duration = Duration::from_millis(5_400);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The numbers of machines of runs without many.
+const FEW_MACHINES: std::ops::Range<usize> = 6..16;
+/// The team's limit in a run that has one, in cores for each machine.
+const MAX_CORES_PER_MACHINE: u32 = 2;
 /// Each seed divisible by this has leaders that change in series while connections fail.
 const FEW_CONNECTIONS_EVERY: u64 = 2;
 /// How many times users cancel several jobs at once during the series of leaders, besides its start.
@@ -117,16 +127,15 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let machines = match seed % MANY_MACHINES_EVERY {
             0 => MANY_MACHINES,
-            _ => rng.random_range(6..16),
+            _ => rng.random_range(FEW_MACHINES),
         };
-        let worker_lease = Duration::from_millis(5_400);
-        let max_cancellation_ms = match seed % EDGE_EVERY {
-            // Little more than a lease and the least bound on the age of cancellations.
-            3 => 9_000,
-            _ => rng.random_range(10_400..11_400),
+        let is_edge = seed % EDGE_EVERY == EDGE_EVERY - 1;
+        let max_cancellation_ms = match is_edge {
+            true => EDGE_MAX_CANCELLATION_MS,
+            false => rng.random_range(MAX_CANCELLATION_MS),
         };
         let max_cores = match rng.random_bool(0.4) {
-            true => machines as u32 * 2,
+            true => machines as u32 * MAX_CORES_PER_MACHINE,
             false => 0,
         };
         let series = PlannedTrouble {
@@ -148,8 +157,8 @@
         Self {
             seed,
             machines,
-            heartbeat_interval: Duration::from_millis(1_000),
-            worker_lease,
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            worker_lease: WORKER_LEASE,
             max_cancellation: Duration::from_millis(max_cancellation_ms),
             max_cores,
             troubles,
