--- a/src/coordination/shard/tests/random.rs
+++ b/src/coordination/shard/tests/random.rs
@@ -16,6 +16,9 @@
 /// The seeds of the runs at a leader with few free connections.
 const BUSY_SEEDS: Range<u64> = 0..64;
 
+/// The seeds of the runs in which a delegate renews leases in a long partition.
+const PARTITION_SEEDS: Range<u64> = 0..64;
+
 /// The environment variable that names other seeds, for long runs started by hand: `FIRST..END`.
 const SEEDS_VARIABLE: &str = "VALEGAP_RANDOM_SEEDS";
 
@@ -80,6 +83,38 @@
     }
 }
 
+/// A run in which jobs are cancelled whose launches a partition holds back for much longer than
+/// cancelled tasks may run, while a delegate renews the leases of the partitioned workers.
+fn partitioned_run(seed: u64) -> Simulation {
+    let mut simulation = Simulation::new(seed);
+    simulation.elect_leader();
+    submit_new_jobs(&mut simulation, 3);
+    simulation.run(Duration::from_secs(60));
+    let machines = simulation.machines();
+    let partition = Duration::from_millis(simulation.rng.random_range(70_000..160_000));
+    simulation.partition_with_delegate(&machines, partition);
+    submit_new_jobs(&mut simulation, 4);
+    simulation.run(Duration::from_secs(3));
+    simulation.grant_delegation();
+    for _ in 0..NEW_JOBS {
+        cancel_random_job(&mut simulation);
+        let pause = simulation.rng.random_range(100..1_500);
+        simulation.run(Duration::from_millis(pause));
+    }
+    simulation.run(partition);
+    simulation.revoke_delegation();
+    simulation.run(Duration::from_secs(60));
+    simulation
+}
+
+/// Submits jobs with ids that begin with this digit.
+fn submit_new_jobs(simulation: &mut Simulation, first_digit: u32) {
+    for number in 0..NEW_JOBS {
+        let job = random_job(&mut simulation.rng);
+        simulation.submit(&format!("run-{first_digit}{number:05}"), job);
+    }
+}
+
 fn run_random_events(mut simulation: Simulation) -> Simulation {
     simulation.elect_leader();
     let mut submitted = 0_u32;
@@ -222,6 +257,17 @@
     assert!(broken.is_empty(), "by seed: {broken:#?}");
 }
 
+/// Guards against `ran_cancelled`: a launch that a partition had held back started its task after
+/// the partition, since a delegate had kept the worker's lease and fencing token.
+#[test]
+fn no_launch_that_a_partition_held_back_starts_a_cancelled_task() {
+    let runs = PARTITION_SEEDS.map(|seed| (seed, partitioned_run(seed).violations));
+    let broken: Vec<_> = runs
+        .filter(|(_, violations)| !violations.is_empty())
+        .collect();
+    assert!(broken.is_empty(), "by seed: {broken:#?}");
+}
+
 #[test]
 fn all_jobs_finish_once_the_faults_end() {
     for seed in 100..112 {
--- a/src/coordination/shard/tests/simulation/kv_store.rs
+++ b/src/coordination/shard/tests/simulation/kv_store.rs
@@ -39,6 +39,8 @@
     roster: BTreeMap<String, Value>,
     snapshot_chunks: BTreeMap<String, Value>,
     pending_rentals: BTreeMap<String, Value>,
+    /// The delegations and what belongs to them.
+    pub(super) delegations: BTreeMap<String, Value>,
 }
 
 impl KvStore {
@@ -116,6 +118,11 @@
             .collect()
     }
 
+    /// Whether a job has no final record.
+    pub(super) fn is_open(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
     /// The jobs without a final record, with their ids.
     pub(super) fn open_jobs(&self) -> impl Iterator<Item = (&String, &JobRecord)> {
         self.jobs.iter().map(|(id, job)| (id, &job.record))
@@ -137,6 +144,8 @@
             &mut self.roster
         } else if key.starts_with(&keys::snapshot_prefix()) {
             &mut self.snapshot_chunks
+        } else if key.starts_with(&keys::leader_prefix()) {
+            &mut self.delegations
         } else {
             assert!(key.starts_with(&keys::rental_prefix()), "{key}");
             &mut self.pending_rentals
--- a/src/coordination/shard/tests/simulation/mod.rs
+++ b/src/coordination/shard/tests/simulation/mod.rs
@@ -9,6 +9,7 @@
 //! which the shard no longer waits.
 
 mod cloud;
+mod delegate;
 mod delivery;
 mod gangs;
 mod kv_store;
--- a/src/coordination/shard/tests/simulation/rules.rs
+++ b/src/coordination/shard/tests/simulation/rules.rs
@@ -27,8 +27,8 @@
     QuotaLimit,
     /// Tasks run on the machines and in the zones that their job allows (`wrong_place`).
     AllowedPlacement,
-    /// No task runs longer than [`CANCELLATION_BOUND`] after its job's cancellation was confirmed
-    /// (`ran_cancelled`).
+    /// No task runs or starts more than [`CANCELLATION_BOUND`] after its job's cancellation was
+    /// confirmed (`ran_cancelled`).
     CancellationBound,
     /// A job is done only when all its tasks have completed (`not_done`).
     DoneOnlyWhenCompleted,
@@ -76,8 +76,12 @@
         if cancelled_at.is_some_and(|at| self.now - *at > LATE_START_TOLERANCE) {
             self.counts.starts_after_cancellation += 1;
         }
+        let is_overdue = cancelled_at.is_some_and(|at| self.now - *at > CANCELLATION_BOUND);
         let active = self.active_tasks();
         let mut broken = Vec::new();
+        if is_overdue {
+            broken.push((Rule::CancellationBound, format!("{task} starts")));
+        }
         if active.iter().filter(|active| active.task == task).count() > 1 {
             broken.push((Rule::SingleExecution, task.to_string()));
         }
--- a/src/coordination/shard/tests/simulation/worker.rs
+++ b/src/coordination/shard/tests/simulation/worker.rs
@@ -115,6 +115,8 @@
     /// are held back.
     pub(super) partitioned_until: Option<Instant>,
     pub(super) advance_delegation: Option<AdvanceDelegation>,
+    /// Whether the partition lets the worker's heartbeats reach the delegate.
+    pub(super) reaches_delegate: bool,
     /// The time until which the worker process does nothing.
     pub(super) hangs_until: Option<Instant>,
     /// The time until which neither answers nor commands reach the worker.
@@ -139,6 +141,7 @@
             tasks: BTreeMap::new(),
             partitioned_until: None,
             advance_delegation: None,
+            reaches_delegate: false,
             hangs_until: None,
             inbound_unreachable_until: None,
             outbound_unreachable_until: None,
@@ -245,6 +248,7 @@
     pub(super) fn expire_partition(&mut self, now: Instant) {
         self.partitioned_until = self.partitioned_until.filter(|until| *until > now);
         let partitioned = self.partitioned_until.is_some();
+        self.reaches_delegate &= partitioned;
         self.advance_delegation = self
             .advance_delegation
             .filter(|delegation| partitioned && delegation.expires_at > now);
@@ -286,6 +290,12 @@
         self.partitioned_until = Some(until);
     }
 
+    /// Partitions the worker until a time, in which its heartbeats reach the delegate.
+    pub(super) fn partition_with_delegate(&mut self, until: Instant) {
+        self.partitioned_until = Some(until);
+        self.reaches_delegate = true;
+    }
+
     /// Lets the delegate renew the lease and stop tasks whose jobs were cancelled before the
     /// partition. Returns the fencing token of the delegation; None if no delegate renews the
     /// lease.
--- a/src/coordination/shard/tests/simulation/workers.rs
+++ b/src/coordination/shard/tests/simulation/workers.rs
@@ -48,6 +48,7 @@
             if let Some(fencing_token) = worker.renew_by_delegate(&self.truth, now) {
                 self.delegated_answers.insert(fencing_token, now);
             }
+            self.answer_by_delegate(&heartbeat);
             self.send_heartbeat(heartbeat);
         }
         for task in started {
@@ -165,7 +166,7 @@
         });
     }
 
-    fn set_fault(&mut self, id: &str, fault: impl FnOnce(&mut Worker)) {
+    pub(super) fn set_fault(&mut self, id: &str, fault: impl FnOnce(&mut Worker)) {
         if let Some(worker) = self.workers.get_mut(id) {
             fault(worker);
         }
