Stop a cancelled task in each answer that is given while its launch is in flight

Between the sending of a launch and its answer, an answer to the worker's heartbeat renewed the lease and held neither the launch nor its stop, since the heartbeat doesn't list the task yet.

Fix: a batch that may have reached the worker is known as such (CommandChannel::is_in_flight, set as due_batch hands out its commands). A launch in it whose attempt is to be stopped counts as unanswered: the answer launches and stops the attempt, and the attempt is never cleared, so that the copies may arrive in any order. A launch that still waits to be sent is dropped from its batch, as before.

Failed before: an_answer_while_a_launch_is_in_flight_holds_the_stop_of_a_cancelled_task (no command in the answer). A guard, not red before: an_answer_while_a_launch_waits_to_be_sent_does_not_start_a_cancelled_task.

--- a/src/coordination/shard/dispatch/due_batch.rs
+++ b/src/coordination/shard/dispatch/due_batch.rs
@@ -45,6 +45,7 @@
             self.needs_pass = true;
             return None;
         };
+        machine.commands.note_left();
         Some(DueBatch {
             agent_epoch,
             commands,
--- a/src/coordination/shard/dispatch/repeated.rs
+++ b/src/coordination/shard/dispatch/repeated.rs
@@ -26,6 +26,21 @@
     commands
 }
 
+/// Treats launches in flight whose attempts are to be stopped as unanswered, so that the answer to a
+/// heartbeat repeats them with their stops: the answer renews the lease, and a task that starts after
+/// the heartbeat is not listed in it. Two copies of such a launch may then arrive in any order.
+pub(in crate::coordination::shard) fn mark_launches_to_stop(machine: &mut Machine) {
+    if !machine.commands.is_in_flight() {
+        return;
+    }
+    for attempt in machine.attempts.values_mut() {
+        let is_launch = attempt.phase == Phase::Launching && attempt.has_command_in_flight;
+        if is_launch && attempt.stop_grace().is_some() {
+            attempt.has_unanswered_launch = true;
+        }
+    }
+}
+
 /// Appends a launch that was sent, got no answer and may still arrive, and its stop if one was
 /// requested. Once the worker knows the attempt, a late copy of the launch has no effect.
 fn repeat_launch(
@@ -34,7 +49,7 @@
     permit: &RunPermit,
     commands: &mut Vec<Command>,
 ) {
-    if attempt.has_command_in_flight || !attempt.has_unanswered_launch {
+    if !attempt.has_unanswered_launch {
         return;
     }
     commands.push(launch_command(attempt_id, permit));
--- a/src/coordination/shard/machines/command_channel.rs
+++ b/src/coordination/shard/machines/command_channel.rs
@@ -12,6 +12,8 @@
     /// The newest heartbeat that had arrived when the batch was sent. The answer to the batch
     /// has a higher number, unless the worker process has restarted.
     pub newest_heartbeat_when_sent: HeartbeatNumber,
+    /// Whether the batch no longer waits to be sent: the worker may have received it.
+    has_left: bool,
 }
 
 /// Which batch awaits the worker's answer, when the next may be sent, and whether the last ones
@@ -41,6 +43,18 @@
         self.outstanding.is_some_and(|batch| batch.number == number)
     }
 
+    /// Records that the outstanding batch leaves the leader now.
+    pub fn note_left(&mut self) {
+        if let Some(batch) = &mut self.outstanding {
+            batch.has_left = true;
+        }
+    }
+
+    /// Whether the worker may have received the outstanding batch.
+    pub fn is_in_flight(&self) -> bool {
+        self.outstanding.is_some_and(|batch| batch.has_left)
+    }
+
     /// Whether the pause before the next batch is over.
     pub fn retry_is_due(&self, now: Instant) -> bool {
         self.retry_at.is_none_or(|at| at <= now)
@@ -68,6 +82,7 @@
         self.outstanding = Some(OutstandingBatch {
             number,
             newest_heartbeat_when_sent,
+            has_left: false,
         });
         self.retry_at = None;
     }
--- a/src/coordination/shard/reconciler/mod.rs
+++ b/src/coordination/shard/reconciler/mod.rs
@@ -20,7 +20,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::dispatch::commands_to_repeat;
+use super::dispatch::{commands_to_repeat, mark_launches_to_stop};
 use super::machines::{EpochChange, HeartbeatNumber};
 use super::{Action, InvariantViolation, Machine, Shard};
 use crate::coordination::worker_leases::lease_renewal::LeaseRenewal;
@@ -70,6 +70,7 @@
         }
         let is_reconciled = machine.token_acknowledged && machine.epochs.is_newest(number);
         let commands = if is_reconciled {
+            mark_launches_to_stop(machine);
             commands_to_repeat(machine, &permit)
         } else {
             Vec::new()
--- a/src/coordination/shard/tests/cancelled_tasks.rs
+++ b/src/coordination/shard/tests/cancelled_tasks.rs
@@ -6,9 +6,9 @@
 use super::fixtures::{
     CANCELLATION_BOUND, ended_task, policy, recovered_job, roster_machine, running_task, spec,
 };
-use super::scripted_shard::{ScriptedShard, TOKEN, count_stops, launched_attempt};
+use super::scripted_shard::{CommandBatch, ScriptedShard, TOKEN, count_stops, launched_attempt};
 use crate::coordination::shard::{HeartbeatOutcome, RecoveredState};
-use crate::protocol::workers::{AttemptOutcome, WorkerHeartbeat};
+use crate::protocol::workers::{AttemptOutcome, Command, WorkerHeartbeat};
 
 /// The attempt number of a launch by an earlier leader.
 const EARLIER_ATTEMPT: u64 = 9;
@@ -113,3 +113,44 @@
     let commands = script.heartbeat("vm-1", tasks());
     assert_eq!(count_stops(&commands), 1, "{commands:?}");
 }
+
+/// A shard that has sent vm-1 the launch of `run-1/0`, and the batch that holds it.
+fn shard_with_launch_in_flight() -> (ScriptedShard, CommandBatch) {
+    let mut script = ScriptedShard::empty();
+    script.add_machines(&["vm-1"]);
+    script.submit("run-1", spec("blue", 1.0, 1));
+    let batch = script.take_launches().remove(0);
+    let now = script.now;
+    let due = script.shard.due_batch(&batch.machine, batch.number, now);
+    assert!(due.is_some(), "the batch is sent");
+    (script, batch)
+}
+
+/// Guards against `ran_cancelled`: an answer renewed the lease while the launch of a cancelled job's
+/// task was on its way, and held no stop.
+#[test]
+fn an_answer_while_a_launch_is_in_flight_holds_the_stop_of_a_cancelled_task() {
+    let (mut script, batch) = shard_with_launch_in_flight();
+    assert_eq!(script.heartbeat("vm-1", Vec::new()), [], "its job is open");
+    script.shard.job_finished("run-1", None);
+    let commands = script.heartbeat("vm-1", Vec::new());
+    let [Command::Launch { attempt, .. }, Command::Stop { .. }] = &commands[..] else {
+        panic!("not a launch and its stop: {commands:?}");
+    };
+    assert_eq!(*attempt, launched_attempt(&batch.commands));
+    // Either copy of the launch may arrive last, so the worker has to remember the attempt.
+    let stopped = ended_task("run-1/0", *attempt, AttemptOutcome::Stopped);
+    script.execute(&batch, vec![stopped.clone()]);
+    assert_eq!(script.heartbeat("vm-1", vec![stopped]), []);
+}
+
+/// A batch that waits to be sent drops the launch, so that no answer may start the task.
+#[test]
+fn an_answer_while_a_launch_waits_to_be_sent_does_not_start_a_cancelled_task() {
+    let mut script = ScriptedShard::empty();
+    script.add_machines(&["vm-1"]);
+    script.submit("run-1", spec("blue", 1.0, 1));
+    script.take_launches();
+    script.shard.job_finished("run-1", None);
+    assert_eq!(script.heartbeat("vm-1", Vec::new()), []);
+}
