--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -110,6 +110,13 @@
         recorded.spot_jobs.insert(job.to_owned());
     }
 
+    /// The jobs of which a task is on a machine now.
+    pub(crate) fn running_jobs(&self) -> BTreeSet<String> {
+        let recorded = self.recorded.lock().expect("history");
+        let running = recorded.running();
+        running.map(|run| run.task.job.to_string()).collect()
+    }
+
     /// The violations that were seen while tasks ran.
     pub(crate) fn violations(&self) -> Vec<Violation> {
         self.recorded.lock().expect("history").violations.clone()
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -1,15 +1,18 @@
 //! Users, who submit, repeat, ask and cancel at all controllers, and note what they are told.
 
+mod answers;
+mod settling;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use hyper::{Method, StatusCode};
+use hyper::Method;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
-use valegap::transport::client::{Answer, HttpClient};
+use valegap::transport::client::HttpClient;
 
 use crate::deployment::Deployment;
 use crate::history::{TaskHistory, Violation};
@@ -132,7 +135,7 @@
         while Instant::now() < end {
             let elapsed = started.elapsed();
             for _ in 0..take_due(&mut bursts, elapsed) * CANCELLATIONS_PER_BURST {
-                if let Some(job) = self.draw_job(&mut rng, JobFacts::is_open) {
+                if let Some(job) = self.draw_job_to_cancel(&mut rng) {
                     self.spawn(&mut rng, Request::Cancel(job), end);
                 }
             }
@@ -160,7 +163,8 @@
                 Some(Request::Submit(self.new_job(rng, JobKind::Service)))
             }
             4 => Some(Request::Submit(self.new_job(rng, JobKind::Batch))),
-            5..8 => self.draw_job(rng, JobFacts::is_open).map(Request::Cancel),
+            5..7 => self.draw_job(rng, JobFacts::is_open).map(Request::Cancel),
+            7 => self.draw_job_to_cancel(rng).map(Request::Cancel),
             8..11 => self.draw_job(rng, |f| f.is_accepted).map(Request::Submit),
             11 => self
                 .draw_job(rng, |f| f.cancel_requested)
@@ -184,13 +188,23 @@
     }
 
     fn draw_job(&self, rng: &mut StdRng, is_wanted: impl Fn(&JobFacts) -> bool) -> Option<String> {
+        self.jobs_that(is_wanted).choose(rng).cloned()
+    }
+
+    /// An open job of which a task runs, if there is one, or any open job.
+    fn draw_job_to_cancel(&self, rng: &mut StdRng) -> Option<String> {
+        let running = self.history.running_jobs();
+        let mut open = self.jobs_that(JobFacts::is_open);
+        if open.iter().any(|job| running.contains(job)) {
+            open.retain(|job| running.contains(job));
+        }
+        open.choose(rng).cloned()
+    }
+
+    fn jobs_that(&self, is_wanted: impl Fn(&JobFacts) -> bool) -> Vec<String> {
         let jobs = self.jobs.lock().expect("jobs");
-        let wanted: Vec<&String> = jobs
-            .iter()
-            .filter(|(_, facts)| is_wanted(facts))
-            .map(|(id, _)| id)
-            .collect();
-        wanted.choose(rng).map(|id| (*id).clone())
+        let wanted = jobs.iter().filter(|(_, facts)| is_wanted(facts));
+        wanted.map(|(id, _)| id.clone()).collect()
     }
 
     fn newest_open_job(&self) -> Option<String> {
@@ -284,163 +298,6 @@
         };
         self.note_answer(request, known.as_ref(), &answer)
     }
-
-    /// Checks an answer against what was known when the request was sent, and notes what it says.
-    fn note_answer(&self, request: &Request, known: Option<&JobFacts>, answer: &Answer) -> bool {
-        let job = request.job().to_owned();
-        let value: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-        let stage = value["Stage"].as_str().unwrap_or_default().to_owned();
-        let was_accepted = known.is_some_and(|facts| facts.is_accepted);
-        match answer.status {
-            StatusCode::OK | StatusCode::CREATED => {}
-            StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => {
-                if was_accepted {
-                    let answer = answer.status.to_string();
-                    self.report(Violation::Forgotten { job, answer });
-                }
-                return true;
-            }
-            _ => return false,
-        }
-        let Some(known) = known else {
-            self.report(Violation::Invented { job });
-            return true;
-        };
-        if let Some((before, _)) = &known.told_final
-            && *before != stage
-        {
-            self.report(Violation::WentBack {
-                job: job.clone(),
-                before: before.clone(),
-                after: stage.clone(),
-            });
-        }
-        if stage == "cancelled" && !self.facts(&job).is_some_and(|facts| facts.cancel_requested) {
-            self.report(Violation::WentBack {
-                job: job.clone(),
-                before: "not cancelled by its user".to_owned(),
-                after: stage.clone(),
-            });
-        }
-        self.note_stage(&job, known.tasks, &stage);
-        let is_final = stage == "cancelled" || stage == "done";
-        is_final || !matches!(request, Request::Cancel(_))
-    }
-
-    fn note_stage(&self, job: &str, tasks: u32, stage: &str) {
-        let now = Instant::now();
-        let mut jobs = self.jobs.lock().expect("jobs");
-        let Some(facts) = jobs.get_mut(job) else {
-            return;
-        };
-        facts.is_accepted = true;
-        if facts.told_final.is_some() || !matches!(stage, "done" | "cancelled") {
-            return;
-        }
-        facts.told_final = Some((stage.to_owned(), now));
-        if stage == "done" {
-            let not_done = self.history.tasks_not_done(job, tasks, now);
-            let violations = not_done.into_iter().map(|task| Violation::NotDone {
-                job: job.to_owned(),
-                task,
-            });
-            violations.for_each(|violation| self.report(violation));
-        }
-    }
-
-    fn report(&self, violation: Violation) {
-        self.violations.lock().expect("violations").push(violation);
-    }
-
-    pub(crate) fn violations(&self) -> Vec<Violation> {
-        self.violations.lock().expect("violations").clone()
-    }
-
-    /// By job, when its user was told that it is cancelled.
-    pub(crate) fn confirmed_cancellations(&self) -> BTreeMap<String, Instant> {
-        let jobs = self.jobs.lock().expect("jobs");
-        let confirmed = jobs.iter().filter_map(|(id, facts)| {
-            let (stage, at) = facts.told_final.as_ref()?;
-            (stage == "cancelled").then(|| (id.clone(), *at))
-        });
-        confirmed.collect()
-    }
-
-    pub(crate) fn accepted_count(&self) -> usize {
-        let jobs = self.jobs.lock().expect("jobs");
-        jobs.values().filter(|facts| facts.is_accepted).count()
-    }
-
-    /// Once the troubles are over: asks for each job until it is as it should be, at the latest until
-    /// `end`. A batch job is done, a service runs, and a job that its user wants to cancel is
-    /// cancelled or done. If the team has a limit, which its services may use up, they are cancelled
-    /// first.
-    pub(crate) async fn wait_until_settled(&self, end: Instant) {
-        if self.has_quota {
-            self.request_cancellation_of_services();
-        }
-        let jobs: Vec<String> = {
-            let jobs = self.jobs.lock().expect("jobs");
-            let accepted = jobs.iter().filter(|(_, facts)| facts.is_accepted);
-            accepted.map(|(id, _)| id.clone()).collect()
-        };
-        for (index, job) in jobs.iter().enumerate() {
-            let mut stage = "not answered".to_owned();
-            while !self.is_settled(job, index, &mut stage).await {
-                if Instant::now() > end {
-                    let job = job.clone();
-                    self.report(Violation::LeftWaiting { job, stage });
-                    break;
-                }
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
-        }
-    }
-
-    fn request_cancellation_of_services(&self) {
-        let mut jobs = self.jobs.lock().expect("jobs");
-        let services = jobs
-            .values_mut()
-            .filter(|facts| facts.kind == JobKind::Service);
-        services.for_each(|facts| facts.cancel_requested = true);
-    }
-
-    async fn is_settled(&self, job: &str, index: usize, stage: &mut String) -> bool {
-        let Some(facts) = self.facts(job) else {
-            return true;
-        };
-        let index = index % self.deployment.user_addresses.len();
-        if facts.cancel_requested {
-            let request = Request::Cancel(job.to_owned());
-            return facts.told_final.is_some() || self.send(&request, index).await;
-        }
-        let request = Request::Poll(job.to_owned());
-        self.send(&request, index).await;
-        if facts.kind == JobKind::Batch {
-            *stage = "not done".to_owned();
-            return self
-                .facts(job)
-                .is_some_and(|facts| facts.told_final.is_some());
-        }
-        *stage = "not running".to_owned();
-        self.running_count(job, index).await >= facts.tasks as u64
-    }
-
-    async fn running_count(&self, job: &str, index: usize) -> u64 {
-        let address = self.deployment.user_addresses[index];
-        let path = format!("/v1/jobs/{job}");
-        let call = self
-            .client
-            .call(Method::GET, address, &path, Vec::new(), ANSWER_TIMEOUT);
-        let answer = call
-            .await
-            .ok()
-            .filter(|answer| answer.status == StatusCode::OK);
-        let value = answer.and_then(|answer| serde_json::from_slice::<Value>(&answer.body).ok());
-        value
-            .and_then(|value| value["running"].as_u64())
-            .unwrap_or(0)
-    }
 }
 
 /// Removes the moments that have come; returns how many there were.
