Soak: begin the troubles once a task runs

Traced: the store was out from 2 s on, before a machine had been rented, and its leaders found no machine until the troubles were over; no rule was broken, and nothing was checked. The users' first services are submitted and run before the plan's clock starts.

--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -124,6 +124,7 @@
     let deployment = Deployment::start(&plan, history.clone()).await;
     let users = Users::new(&plan, deployment.clone(), history.clone());
     let end_of_requests = started + LONGEST_RUN;
+    users.start_services(&plan, end_of_requests).await;
     let requests = tokio::spawn(users.clone().send_requests(plan.clone(), end_of_requests));
     let troubles = bring_about(&plan, &deployment).await;
     tokio::time::sleep(AFTER_TROUBLES).await;
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -29,8 +29,9 @@
 /// Each seed has its own job ids; they have six digits.
 const JOBS_PER_SEED: u64 = 1_000;
 const SEEDS_WITH_OWN_IDS: u64 = 1_000;
-/// Keeps the users' random numbers apart from those of the plan.
+/// Keep the users' random numbers apart from those of the plan.
 const USERS_STREAM: u64 = 0x7573_6572;
+const SERVICES_STREAM: u64 = 0x7365_7276;
 /// The share of a machine's cores that services take at the start.
 const SERVICE_CORES_PER_MACHINE: usize = 2;
 /// The share of a machine's four cores up to which users submit services.
@@ -118,15 +119,24 @@
         })
     }
 
-    /// Sends requests until `end`; the seed decides which.
-    pub(crate) async fn send_requests(self: Arc<Self>, plan: Plan, end: Instant) {
-        let mut rng = StdRng::seed_from_u64(plan.seed ^ USERS_STREAM);
+    /// Submits services that use a part of all machines, and waits until a task of one runs: troubles
+    /// that begin before would find nothing to stop.
+    pub(crate) async fn start_services(self: &Arc<Self>, plan: &Plan, end: Instant) {
+        let mut rng = StdRng::seed_from_u64(plan.seed ^ SERVICES_STREAM);
         let mut cores = 0;
         while cores < plan.machines * SERVICE_CORES_PER_MACHINE {
             let job = self.new_job(&mut rng, JobKind::Service);
             cores += self.facts(&job).map_or(1, |facts| facts.tasks as usize);
             self.spawn(&mut rng, Request::Submit(job), end);
         }
+        while self.history.running_jobs().is_empty() && Instant::now() < end {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Sends requests until `end`; the seed decides which.
+    pub(crate) async fn send_requests(self: Arc<Self>, plan: Plan, end: Instant) {
+        let mut rng = StdRng::seed_from_u64(plan.seed ^ USERS_STREAM);
         let started = Instant::now();
         let mut bursts = plan.cancellation_bursts.clone();
         let partition = plan.partition.as_ref();
